--- /dev/null
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -0,0 +1,113 @@
+// Decides which calls a target runs, in which order, and which are refused.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <trefoil/base/ids.hpp>
+#include <trefoil/base/time.hpp>
+#include <trefoil/wire/call_context.hpp>
+
+namespace trefoil {
+
+/// Limits of one target.
+struct admission_settings {
+    /// Calls that the target works on at once.
+    std::uint32_t slots = 1;
+    /// Connections that the target accepts.
+    std::uint32_t connections = 1;
+    /// Calls that may wait, as a multiple of the slots.
+    double queue_per_slot = 1.0;
+
+    friend bool operator==(const admission_settings&, const admission_settings&) = default;
+};
+
+/// A call that asks to be run.
+struct admission_request {
+    call_id call;
+    std::string kind;
+    /// See admission_position.
+    std::uint32_t position = 0;
+    time_point deadline;
+    /// Calls of this kind that may be in flight at the target; 0 refuses all.
+    std::uint32_t kind_limit = 0;
+
+    friend bool operator==(const admission_request&, const admission_request&) = default;
+};
+
+/// A waiting call that was taken out of the queue.
+struct admission_change {
+    call_id call;
+    /// refusal::none if the call is to be handed to the target now.
+    refusal reason = refusal::none;
+
+    friend bool operator==(const admission_change&, const admission_change&) = default;
+};
+
+/// How a call that was handed to the target ended.
+struct service_result {
+    /// Time between hand-off and end.
+    duration service_time{0};
+    /// False if the target failed, shed the call or gave no whole answer.
+    bool succeeded = true;
+
+    friend bool operator==(const service_result&, const service_result&) = default;
+};
+
+/// The queue and the limits in front of one target. It holds no time of its own: every call passes
+/// the present in. A call is in exactly one of three places: waiting, in flight, or gone.
+class admission {
+public:
+    explicit admission(admission_settings settings) : settings_(settings) {}
+
+    /// Puts the call into the queue, or refuses it: then a reason other than none is returned.
+    refusal offer(time_point now, const admission_request& request);
+
+    /// Takes calls out of the queue: those to hand to the target now and those to refuse, in that
+    /// order of decision. Calls to hand on count as in flight from here.
+    std::vector<admission_change> advance(time_point now);
+
+    /// Ends a call that was in flight.
+    void finished(time_point now, call_id call, const service_result& result);
+
+    /// Takes a waiting call out without a verdict. False if it does not wait here.
+    bool withdraw(call_id call);
+
+    /// Tells that the target's process is there or not. A target that comes back is cold.
+    void target_changed(time_point now, bool is_up);
+
+    /// The highest position that is admitted at present, plus one.
+    std::uint32_t threshold() const;
+
+    /// In flight, waiting and the present limit.
+    load_report load() const;
+
+    /// When advance() has something to do although no event arrives.
+    std::optional<time_point> next_deadline() const;
+
+private:
+    struct waiting_call {
+        admission_request request;
+        time_point since;
+    };
+    using queue_key = std::pair<std::uint32_t, std::uint64_t>;
+
+    std::uint32_t queue_limit() const;
+    bool kind_is_full(const admission_request& request) const;
+    duration expected_service_time(const std::string& kind) const;
+
+    admission_settings settings_;
+    std::map<queue_key, waiting_call> queue_;
+    std::unordered_map<call_id, queue_key> keys_;
+    std::unordered_map<call_id, std::string> in_flight_;
+    std::unordered_map<std::string, std::uint32_t> in_flight_by_kind_;
+    std::unordered_map<std::string, duration> service_times_;
+    std::uint64_t next_sequence_ = 0;
+    bool target_is_up_ = true;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -0,0 +1,64 @@
+// Numbered log events. The catalogue for operators is docs/EVENTS.md.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace trefoil {
+
+/// Every event that a process may log; the number is printed and never reused.
+enum class log_event : int {
+    node_started = 1001,
+    node_stopping = 1002,
+    node_stopped = 1003,
+    drain_limit_reached = 1004,
+    second_stop_signal = 1005,
+    setting_invalid = 1006,
+    clock_gap = 1007,
+    document_accepted = 2001,
+    document_refused = 2002,
+    platform_unreachable = 2003,
+    platform_reachable = 2004,
+    serving_without_documents = 2005,
+    document_stale_ignored = 2006,
+    document_repaired = 2007,
+    target_down = 3001,
+    target_up = 3002,
+    level_raised = 3003,
+    level_cleared = 3004,
+    instance_ejected = 3005,
+    instance_returned = 3006,
+    instance_leaving = 3007,
+    request_suspected = 4001,
+    request_cleared = 4002,
+    request_convicted = 4003,
+    bad_context_header = 5001,
+    bad_control_message = 5002,
+    bad_platform_answer = 5003,
+    listener_failed = 5004,
+};
+
+/// All events in ascending order of number.
+const std::vector<log_event>& all_log_events();
+
+/// The event's name in words joined by underscores.
+std::string_view name_of(log_event event);
+
+/// One line of the log: an event and its fields, in the order in which they are printed.
+struct log_record {
+    log_event event;
+    std::vector<std::pair<std::string, std::string>> fields;
+
+    friend bool operator==(const log_record&, const log_record&) = default;
+};
+
+/// The record as one line without its line end: number, name, key=value fields. Values with spaces
+/// or quotes are quoted.
+std::string format_record(const log_record& record);
+
+/// Writes the record to standard error with the wall-clock time in front.
+void write_log(const log_record& record);
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -0,0 +1,76 @@
+// A node's decisions as a state machine without I/O.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <trefoil/admission/admission.hpp>
+#include <trefoil/core/actions.hpp>
+#include <trefoil/core/events.hpp>
+#include <trefoil/documents/document_exchange.hpp>
+#include <trefoil/membership/membership.hpp>
+#include <trefoil/table/table.hpp>
+#include <trefoil/telemetry/call_metrics.hpp>
+
+namespace trefoil {
+
+/// What a node's core must know from the start.
+struct core_settings {
+    instance_id self;
+    service_name service;
+    domain_name domain;
+    region_name region;
+    /// Where other nodes reach this one.
+    endpoint peer_address;
+    /// Chosen at random for each run of the process.
+    incarnation_id incarnation;
+    admission_settings admission;
+    /// How long a stop waits for calls in flight.
+    duration drain_limit = 30s;
+    /// Seed of every random choice.
+    std::uint64_t seed = 1;
+
+    friend bool operator==(const core_settings&, const core_settings&) = default;
+};
+
+/// State of a node for operators.
+struct core_status {
+    document_status table;
+    document_status instances;
+    load_report load;
+    std::uint32_t threshold = 0;
+    std::size_t calls = 0;
+    std::size_t attempts = 0;
+    std::size_t members = 0;
+    bool target_is_up = true;
+    bool is_leaving = false;
+
+    friend bool operator==(const core_status&, const core_status&) = default;
+};
+
+/// All policy of one node. Driven by events in the order in which they happen; the same events at
+/// the same times give the same actions.
+class node_core {
+public:
+    explicit node_core(core_settings settings);
+    ~node_core();
+    node_core(node_core&&) noexcept;
+    node_core& operator=(node_core&&) noexcept;
+
+    /// Begins; called once, before the first event.
+    actions start(time_point now);
+
+    /// Takes one event in. `now` never falls from one call to the next.
+    actions step(time_point now, const event& happened);
+
+    core_status status() const;
+    const call_metrics& metrics() const;
+    /// The table in force; null until one is accepted.
+    const table* current_table() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/core/src/node_core.cpp
@@ -0,0 +1,275 @@
+#include <trefoil/core/node_core.hpp>
+
+#include <fmt/format.h>
+
+#include <trefoil/base/error.hpp>
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/membership/member_list.hpp>
+
+#include "core_state.hpp"
+#include "document_rules.hpp"
+#include "inbound_calls.hpp"
+#include "outbound_calls.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Ids of calls that a node makes to its own target; above the shell's.
+constexpr std::uint64_t local_call_bit = 1ULL << 63U;
+
+call_id local_call(attempt_id attempt) { return {attempt.value | local_call_bit}; }
+
+} // namespace
+
+class node_core::impl {
+public:
+    explicit impl(core_settings settings)
+        : state_(std::move(settings)),
+          inbound_(state_, [this](attempt_id attempt, const call_end& end) {
+              outbound_.attempt_answered(attempt, end);
+          }),
+          outbound_(
+              state_,
+              [this](attempt_id attempt, request_ptr request, call_context context) {
+                  inbound_.arrive(local_call(attempt), reply_to_attempt{attempt},
+                                  std::move(request), std::move(context));
+              },
+              [this](attempt_id attempt) { inbound_.abandon(local_call(attempt)); }),
+          documents_({state_.settings.self, state_.settings.domain, state_.settings.region,
+                      state_.settings.seed, validate_document}) {}
+
+    actions start(time_point now) {
+        state_.now = now;
+        state_.log(log_event::node_started, {{"instance", state_.settings.self.str()},
+                                             {"service", state_.settings.service.str()},
+                                             {"domain", state_.settings.domain.str()}});
+        apply(documents_.start(now));
+        return finish_step();
+    }
+
+    actions step(time_point now, const event& happened) {
+        state_.now = now;
+        expire();
+        std::visit([this](const auto& e) { on(e); }, happened);
+        expire();
+        check_stop();
+        return finish_step();
+    }
+
+    core_status status() const {
+        return {documents_.status(document_id::table),
+                documents_.status(document_id::instances),
+                state_.admitter.load(),
+                state_.admitter.threshold(),
+                inbound_.size() + outbound_.size(),
+                outbound_.attempts(),
+                state_.members.all().size(),
+                state_.target_is_up,
+                state_.is_leaving()};
+    }
+
+    const call_metrics& metrics() const { return state_.metrics; }
+    const table* current_table() const { return state_.current ? &*state_.current : nullptr; }
+
+private:
+    void on(const call_arrived& e) {
+        if (e.from == listener::caller) {
+            outbound_.arrive_from_caller(e.call, e.request);
+        } else if (e.from == listener::app) {
+            arrive_from_app(e);
+        } else if (e.context) {
+            inbound_.arrive(e.call, reply_to_listener{e.call}, e.request, *e.context);
+        } else {
+            state_.out.emplace_back(respond{
+                e.call, nullptr, refused(refusal::bad_request, 0, state_.settings.incarnation),
+                {}});
+        }
+    }
+
+    void arrive_from_app(const call_arrived& e) {
+        const call_context* parent = nullptr;
+        call_id parent_call;
+        if (e.context && e.context->parent_incarnation == state_.settings.incarnation) {
+            parent_call = e.context->parent_call;
+            parent = inbound_.context_of(parent_call);
+        }
+        const auto deadline = parent != nullptr ? inbound_.deadline_of(parent_call) : time_point{};
+        outbound_.arrive_from_app(e.call, e.request, parent, deadline, parent_call);
+    }
+
+    void on(const call_abandoned& e) {
+        outbound_.abandon(e.call);
+        inbound_.abandon(e.call);
+    }
+
+    void on(const attempt_answered& e) {
+        if (inbound_.owns(e.attempt)) {
+            inbound_.target_answered(e.attempt, e.answer, e.info);
+        } else {
+            outbound_.attempt_answered(e.attempt, {e.answer, e.info});
+        }
+    }
+
+    void on(const attempt_failed& e) {
+        if (inbound_.owns(e.attempt)) {
+            inbound_.target_failed(e.attempt, e.failure);
+        } else {
+            outbound_.attempt_failed(e.attempt, e.failure);
+        }
+    }
+
+    void on(const target_state_changed& e) {
+        if (e.is_up == state_.target_is_up) {
+            return;
+        }
+        state_.target_is_up = e.is_up;
+        state_.admitter.target_changed(state_.now, e.is_up);
+        state_.log(e.is_up ? log_event::target_up : log_event::target_down, {});
+    }
+
+    void on(const document_read& e) {
+        apply(documents_.on_read(state_.now, e.document, e.at, e.text));
+    }
+    void on(const document_unchanged& e) {
+        apply(documents_.on_unchanged(state_.now, e.document));
+    }
+    void on(const platform_failed& e) {
+        apply(documents_.on_platform_failed(state_.now, e.document));
+    }
+
+    void on(const control_received& e) {
+        std::visit(overloaded{
+                       [&](const leaving_notice& notice) {
+                           state_.members.announce_leaving(notice.instance);
+                       },
+                       [&](const suspect_notice&) {},
+                       [&](const cancel_notice&) {},
+                       [&](const auto&) {
+                           apply(documents_.on_message(state_.now, e.from, e.message));
+                       },
+                   },
+                   e.message);
+    }
+
+    void on(const stop_requested&) {
+        if (state_.stop_was_requested) {
+            state_.log(log_event::second_stop_signal, {{"calls", std::to_string(calls())}});
+            return;
+        }
+        state_.stop_was_requested = true;
+        stop_at_ = state_.now + state_.settings.drain_limit;
+        state_.log(log_event::node_stopping, {{"calls", std::to_string(calls())}});
+        for (const auto& peer : state_.members.all()) {
+            if (peer.instance != state_.settings.self) {
+                state_.out.emplace_back(
+                    send_control{peer.instance, peer.control,
+                                 leaving_notice{state_.settings.self,
+                                                state_.settings.incarnation}});
+            }
+        }
+    }
+
+    void on(const timer_fired&) {}
+
+    std::size_t calls() const { return inbound_.size() + outbound_.size(); }
+
+    void expire() {
+        outbound_.advance();
+        inbound_.advance();
+        apply(documents_.advance(state_.now));
+    }
+
+    void check_stop() {
+        if (!state_.stop_was_requested || has_exited_) {
+            return;
+        }
+        const bool limit_reached = state_.now >= stop_at_;
+        if (limit_reached && calls() > 0) {
+            state_.log(log_event::drain_limit_reached, {{"calls", std::to_string(calls())}});
+        }
+        if (limit_reached || calls() == 0) {
+            has_exited_ = true;
+            state_.log(log_event::node_stopped, {});
+            state_.out.emplace_back(exit_process{calls() == 0 ? 0 : 1});
+        }
+    }
+
+    void apply(exchange_outputs outputs) {
+        for (auto& output : outputs) {
+            std::visit(overloaded{
+                           [&](const platform_read& read) { state_.out.emplace_back(read); },
+                           [&](const control_send& send) { apply(send); },
+                           [&](const document_changed& changed) { apply(changed); },
+                           [&](const log_record& record) {
+                               state_.out.emplace_back(write_record{record});
+                           },
+                       },
+                       output);
+        }
+    }
+
+    void apply(const control_send& send) {
+        if (const auto* peer = state_.members.find(send.to)) {
+            state_.out.emplace_back(send_control{send.to, peer->control, send.message});
+        }
+    }
+
+    void apply(const document_changed& changed) {
+        if (changed.document == document_id::table) {
+            auto parsed = parse_table(*changed.text);
+            state_.current = std::get<table>(std::move(parsed));
+            return;
+        }
+        auto parsed = parse_members(*changed.text);
+        state_.members.replace(std::get<std::vector<member>>(std::move(parsed)));
+        documents_.members_changed(state_.now, state_.members);
+    }
+
+    actions finish_step() {
+        std::optional<time_point> wake;
+        const auto consider = [&](std::optional<time_point> at) {
+            if (at && (!wake || *at < *wake)) {
+                wake = at;
+            }
+        };
+        consider(inbound_.next_wake());
+        consider(outbound_.next_wake());
+        consider(documents_.next_wake());
+        if (state_.stop_was_requested && !has_exited_) {
+            consider(stop_at_);
+        }
+        if (wake && wake != armed_) {
+            armed_ = wake;
+            state_.out.emplace_back(arm_timer{*wake});
+        }
+        if (armed_ && *armed_ <= state_.now) {
+            armed_.reset();
+        }
+        actions out;
+        out.swap(state_.out);
+        return out;
+    }
+
+    core_state state_;
+    inbound_calls inbound_;
+    outbound_calls outbound_;
+    document_exchange documents_;
+    std::optional<time_point> armed_;
+    time_point stop_at_;
+    bool has_exited_ = false;
+};
+
+node_core::node_core(core_settings settings) : impl_(std::make_unique<impl>(std::move(settings))) {}
+node_core::~node_core() = default;
+node_core::node_core(node_core&&) noexcept = default;
+node_core& node_core::operator=(node_core&&) noexcept = default;
+
+actions node_core::start(time_point now) { return impl_->start(now); }
+actions node_core::step(time_point now, const event& happened) {
+    return impl_->step(now, happened);
+}
+core_status node_core::status() const { return impl_->status(); }
+const call_metrics& node_core::metrics() const { return impl_->metrics(); }
+const table* node_core::current_table() const { return impl_->current_table(); }
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/table/src/table.cpp
@@ -0,0 +1,96 @@
+#include <trefoil/table/table.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace trefoil {
+namespace {
+
+bool cell_matches(std::string_view pattern, std::string_view value) {
+    return pattern == "*" || pattern == value;
+}
+
+// Takes the next segment off the front of a path.
+std::string_view take_segment(std::string_view& path) {
+    const auto end = std::min(path.find('/'), path.size());
+    const auto segment = path.substr(0, end);
+    path.remove_prefix(std::min(end + 1, path.size()));
+    return segment;
+}
+
+} // namespace
+
+bool path_matches(std::string_view pattern, std::string_view path) {
+    path = path.substr(0, path.find('?'));
+    if (pattern == "*" || pattern == "**") {
+        return true;
+    }
+    const bool open_ended = pattern.ends_with("/**");
+    if (open_ended) {
+        pattern.remove_suffix(3);
+    }
+    if (!pattern.starts_with('/') && !pattern.empty()) {
+        return false;
+    }
+    const auto slashes = [](std::string_view text) {
+        return std::count(text.begin(), text.end(), '/');
+    };
+    if (slashes(path) < slashes(pattern) || (!open_ended && slashes(path) != slashes(pattern))) {
+        return false;
+    }
+    while (!pattern.empty()) {
+        const auto wanted = take_segment(pattern);
+        const auto segment = take_segment(path);
+        if (wanted != "*" && wanted != segment) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string to_string(const table_error& error) {
+    if (error.line == 0) {
+        return fmt::format("table: {}: allowed is {}", error.value, error.allowed);
+    }
+    if (error.column.empty()) {
+        return fmt::format("line {}: '{}': allowed is {}", error.line, error.value, error.allowed);
+    }
+    return fmt::format("line {}, column {}: '{}': allowed is {}", error.line, error.column,
+                       error.value, error.allowed);
+}
+
+table::table(std::vector<table_row> rows) : rows_(std::move(rows)) {
+    const auto found = std::find_if(rows_.begin(), rows_.end(),
+                                    [](const table_row& row) { return row.kind == default_kind; });
+    if (found == rows_.end()) {
+        std::abort();
+    }
+    default_index_ = static_cast<std::size_t>(found - rows_.begin());
+}
+
+const table_row& table::match(const service_name& service, std::string_view method,
+                              std::string_view path) const {
+    for (std::size_t i = 0; i < rows_.size(); ++i) {
+        const auto& row = rows_[i];
+        if (i != default_index_ && cell_matches(row.service, service.str()) &&
+            cell_matches(row.method, method) && path_matches(row.path, path)) {
+            return row;
+        }
+    }
+    return rows_[default_index_];
+}
+
+const table_row* table::find(std::string_view kind) const {
+    const auto found = std::find_if(rows_.begin(), rows_.end(),
+                                    [&](const table_row& row) { return row.kind == kind; });
+    return found == rows_.end() ? nullptr : &*found;
+}
+
+const table_row& table::row_or_default(std::string_view kind) const {
+    const auto* row = find(kind);
+    return row != nullptr ? *row : rows_[default_index_];
+}
+
+} // namespace trefoil
