Serve a request end to end by separate processes

trefoil-node runs the core behind h2o listeners, h2o's client, a platform client and a gRPC control channel, all on one libuv loop. fake-target and fake-platform stand in for what is outside. A process test takes a request through two services and back, closes the table by a cell and opens it again, and stops a node under a request.

--- a/cmake/trefoil.cmake
+++ b/cmake/trefoil.cmake
@@ -15,11 +15,19 @@
     endif()
 endfunction()
 
-# trefoil_test(NAME SOURCES ... DEPENDS ...) declares a doctest program and registers it with ctest.
+# The programs that also run under sanitizers.
+add_custom_target(core-tests)
+
+# trefoil_test(NAME [NO_SANITIZE] SOURCES ... DEPENDS ...) declares a doctest program and registers
+# it with ctest. Without NO_SANITIZE it also belongs to the tests that run under sanitizers.
 function(trefoil_test name)
-    cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(arg "NO_SANITIZE" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${arg_SOURCES})
     target_link_libraries(${name} PRIVATE ${arg_DEPENDS} trefoil_test_main)
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    if(NOT arg_NO_SANITIZE)
+        add_dependencies(core-tests ${name})
+        set_tests_properties(${name} PROPERTIES LABELS core)
+    endif()
 endfunction()
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -81,9 +81,13 @@
     return true;
 }
 
-void admission::target_changed(time_point, bool is_up) { target_is_up_ = is_up; }
+void admission::target_changed(time_point, bool is_up) {
+    target_is_up_ = is_up;
+}
 
-std::uint32_t admission::threshold() const { return admit_all; }
+std::uint32_t admission::threshold() const {
+    return admit_all;
+}
 
 load_report admission::load() const {
     return {static_cast<std::uint32_t>(in_flight_.size()),
@@ -93,8 +97,8 @@
 std::optional<time_point> admission::next_deadline() const {
     std::optional<time_point> earliest;
     for (const auto& [key, waiting] : queue_) {
-        earliest = earliest ? std::min(*earliest, waiting.request.deadline)
-                            : waiting.request.deadline;
+        earliest =
+            earliest ? std::min(*earliest, waiting.request.deadline) : waiting.request.deadline;
     }
     return earliest;
 }
--- a/libs/base/include/trefoil/base/time.hpp
+++ b/libs/base/include/trefoil/base/time.hpp
@@ -27,9 +27,13 @@
 using std::chrono_literals::operator""us;
 
 /// The duration in milliseconds, with its fraction.
-constexpr double to_ms(duration value) { return static_cast<double>(value.count()) / 1000.0; }
+constexpr double to_ms(duration value) {
+    return static_cast<double>(value.count()) / 1000.0;
+}
 
 /// The duration in seconds, with its fraction.
-constexpr double to_seconds(duration value) { return static_cast<double>(value.count()) / 1e6; }
+constexpr double to_seconds(duration value) {
+    return static_cast<double>(value.count()) / 1e6;
+}
 
 } // namespace trefoil
--- a/libs/base/src/endpoint.cpp
+++ b/libs/base/src/endpoint.cpp
@@ -17,9 +17,9 @@
 }
 
 absl::Status bad_endpoint(std::string_view text) {
-    return make_error(base_failure::bad_endpoint,
-                      fmt::format("'{}' is not IP:PORT with an IP number and a port of 1 to 65535",
-                                  text));
+    return make_error(
+        base_failure::bad_endpoint,
+        fmt::format("'{}' is not IP:PORT with an IP number and a port of 1 to 65535", text));
 }
 
 } // namespace
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -9,16 +9,21 @@
 
 } // namespace
 
-absl::StatusCode status_code(base_failure) { return absl::StatusCode::kInvalidArgument; }
+absl::StatusCode status_code(base_failure) {
+    return absl::StatusCode::kInvalidArgument;
+}
 
-std::string_view name_of(base_failure) { return "bad_endpoint"; }
+std::string_view name_of(base_failure) {
+    return "bad_endpoint";
+}
 
 namespace detail {
 
 absl::Status make_error(absl::StatusCode code, std::string_view name,
                         std::string_view explanation) {
     absl::Status status(code, absl::string_view(explanation.data(), explanation.size()));
-    status.SetPayload(failure_payload_type, absl::Cord(absl::string_view(name.data(), name.size())));
+    status.SetPayload(failure_payload_type,
+                      absl::Cord(absl::string_view(name.data(), name.size())));
     return status;
 }
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -79,7 +79,9 @@
     return events;
 }
 
-std::string_view name_of(log_event event) { return event_names().at(event); }
+std::string_view name_of(log_event event) {
+    return event_names().at(event);
+}
 
 std::string format_record(const log_record& record) {
     auto line = fmt::format("{} {}", static_cast<int>(record.event), name_of(record.event));
@@ -90,8 +92,8 @@
 }
 
 void write_log(const log_record& record) {
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
+    const auto now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
                fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                now.time_since_epoch().count() % 1000, format_record(record));
--- a/libs/core/include/trefoil/core/events.hpp
+++ b/libs/core/include/trefoil/core/events.hpp
@@ -126,7 +126,7 @@
 };
 
 using event = std::variant<call_arrived, call_abandoned, attempt_answered, attempt_failed,
-                           target_state_changed, document_read, document_unchanged,
-                           platform_failed, control_received, stop_requested, timer_fired>;
+                           target_state_changed, document_read, document_unchanged, platform_failed,
+                           control_received, stop_requested, timer_fired>;
 
 } // namespace trefoil
--- a/libs/core/src/document_rules.cpp
+++ b/libs/core/src/document_rules.cpp
@@ -8,7 +8,9 @@
 
 namespace trefoil {
 
-absl::StatusCode status_code(document_failure) { return absl::StatusCode::kInvalidArgument; }
+absl::StatusCode status_code(document_failure) {
+    return absl::StatusCode::kInvalidArgument;
+}
 
 std::string_view name_of(document_failure failure) {
     return failure == document_failure::bad_table ? "bad_table" : "bad_instance_list";
@@ -24,9 +26,9 @@
     }
     const auto parsed = parse_members(text);
     if (const auto* errors = std::get_if<member_errors>(&parsed)) {
-        return make_error(document_failure::bad_instance_list,
-                          fmt::format("line {}: {}", errors->front().line,
-                                      errors->front().problem));
+        return make_error(
+            document_failure::bad_instance_list,
+            fmt::format("line {}: {}", errors->front().line, errors->front().problem));
     }
     return absl::OkStatus();
 }
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -26,8 +26,8 @@
 void inbound_calls::arrive(call_id call, reply_address reply, request_ptr request,
                            call_context context) {
     const auto deadline = state_.now + context.remaining;
-    inbound_call entry{reply,        std::move(request), std::move(context), state_.now, deadline,
-                       time_point{}, attempt_id{},       0};
+    inbound_call entry{reply,    std::move(request), std::move(context), state_.now,
+                       deadline, time_point{},       attempt_id{},       0};
     ++state_.metrics.legs[entry.context.kind].offered;
     refusal reason = refusal::no_table;
     if (state_.current) {
@@ -98,8 +98,8 @@
         return;
     }
     const auto call = found->second;
-    answer_info info = refused(reason_of(failure), state_.ledger.close(call),
-                               state_.settings.incarnation);
+    answer_info info =
+        refused(reason_of(failure), state_.ledger.close(call), state_.settings.incarnation);
     if (failure != attempt_failure::not_sent) {
         info.result = outcome::unknown;
     }
@@ -193,6 +193,8 @@
     return is_in_flight ? &found->second.context : nullptr;
 }
 
-time_point inbound_calls::deadline_of(call_id call) const { return calls_.at(call).deadline; }
+time_point inbound_calls::deadline_of(call_id call) const {
+    return calls_.at(call).deadline;
+}
 
 } // namespace trefoil
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -28,8 +28,8 @@
 };
 
 /// Runs calls through admission and the target. One state machine a call: waiting, in flight,
-/// ended. Arrival, cancel, deadline, hand-off and answer meet here, on one thread, so that `not_run`
-/// is said only while the target was handed nothing.
+/// ended. Arrival, cancel, deadline, hand-off and answer meet here, on one thread, so that
+/// `not_run` is said only while the target was handed nothing.
 class inbound_calls {
 public:
     /// Receives the ends of calls whose reply address is an attempt of this node.
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -17,17 +17,19 @@
 /// Ids of calls that a node makes to its own target; above the shell's.
 constexpr std::uint64_t local_call_bit = 1ULL << 63U;
 
-call_id local_call(attempt_id attempt) { return {attempt.value | local_call_bit}; }
+call_id local_call(attempt_id attempt) {
+    return {attempt.value | local_call_bit};
+}
 
 } // namespace
 
 class node_core::impl {
 public:
     explicit impl(core_settings settings)
-        : state_(std::move(settings)),
-          inbound_(state_, [this](attempt_id attempt, const call_end& end) {
-              outbound_.attempt_answered(attempt, end);
-          }),
+        : state_(std::move(settings)), inbound_(state_,
+                                                [this](attempt_id attempt, const call_end& end) {
+                                                    outbound_.attempt_answered(attempt, end);
+                                                }),
           outbound_(
               state_,
               [this](attempt_id attempt, request_ptr request, call_context context) {
@@ -80,9 +82,11 @@
         } else if (e.context) {
             inbound_.arrive(e.call, reply_to_listener{e.call}, e.request, *e.context);
         } else {
-            state_.out.emplace_back(respond{
-                e.call, nullptr, refused(refusal::bad_request, 0, state_.settings.incarnation),
-                {}});
+            state_.out.emplace_back(
+                respond{e.call,
+                        nullptr,
+                        refused(refusal::bad_request, 0, state_.settings.incarnation),
+                        {}});
         }
     }
 
@@ -130,25 +134,22 @@
     void on(const document_read& e) {
         apply(documents_.on_read(state_.now, e.document, e.at, e.text));
     }
-    void on(const document_unchanged& e) {
-        apply(documents_.on_unchanged(state_.now, e.document));
-    }
+    void on(const document_unchanged& e) { apply(documents_.on_unchanged(state_.now, e.document)); }
     void on(const platform_failed& e) {
         apply(documents_.on_platform_failed(state_.now, e.document));
     }
 
     void on(const control_received& e) {
-        std::visit(overloaded{
-                       [&](const leaving_notice& notice) {
-                           state_.members.announce_leaving(notice.instance);
-                       },
-                       [&](const suspect_notice&) {},
-                       [&](const cancel_notice&) {},
-                       [&](const auto&) {
-                           apply(documents_.on_message(state_.now, e.from, e.message));
-                       },
-                   },
-                   e.message);
+        std::visit(
+            overloaded{
+                [&](const leaving_notice& notice) {
+                    state_.members.announce_leaving(notice.instance);
+                },
+                [&](const suspect_notice&) {},
+                [&](const cancel_notice&) {},
+                [&](const auto&) { apply(documents_.on_message(state_.now, e.from, e.message)); },
+            },
+            e.message);
     }
 
     void on(const stop_requested&) {
@@ -161,10 +162,9 @@
         state_.log(log_event::node_stopping, {{"calls", std::to_string(calls())}});
         for (const auto& peer : state_.members.all()) {
             if (peer.instance != state_.settings.self) {
-                state_.out.emplace_back(
-                    send_control{peer.instance, peer.control,
-                                 leaving_notice{state_.settings.self,
-                                                state_.settings.incarnation}});
+                state_.out.emplace_back(send_control{
+                    peer.instance, peer.control,
+                    leaving_notice{state_.settings.self, state_.settings.incarnation}});
             }
         }
     }
@@ -264,12 +264,20 @@
 node_core::node_core(node_core&&) noexcept = default;
 node_core& node_core::operator=(node_core&&) noexcept = default;
 
-actions node_core::start(time_point now) { return impl_->start(now); }
+actions node_core::start(time_point now) {
+    return impl_->start(now);
+}
 actions node_core::step(time_point now, const event& happened) {
     return impl_->step(now, happened);
 }
-core_status node_core::status() const { return impl_->status(); }
-const call_metrics& node_core::metrics() const { return impl_->metrics(); }
-const table* node_core::current_table() const { return impl_->current_table(); }
+core_status node_core::status() const {
+    return impl_->status();
+}
+const call_metrics& node_core::metrics() const {
+    return impl_->metrics();
+}
+const table* node_core::current_table() const {
+    return impl_->current_table();
+}
 
 } // namespace trefoil
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -118,9 +118,14 @@
     const auto chosen = state_.route.pick(state_.now, state_.members, entry.request->service,
                                           entry.tried, state_.random);
     if (!chosen) {
-        finish(call, {nullptr, refused(refusal::no_instance, 0, state_.settings.incarnation)});
+        const call_end none{nullptr, refused(refusal::no_instance, 0, state_.settings.incarnation)};
+        finish(call, entry.last_end.value_or(none));
         return;
     }
+    if (entry.last_end) {
+        --entry.tokens;
+        ++state_.metrics.legs[entry.context.kind].retries;
+    }
     entry.attempt = state_.next_attempt();
     entry.instance = chosen->instance;
     entry.tried.push_back(chosen->instance);
@@ -137,10 +142,9 @@
         start_local_(entry.attempt, entry.request, context);
         return;
     }
-    state_.out.emplace_back(start_attempt{entry.attempt,
-                                          peer_destination{chosen->instance, chosen->peer},
-                                          entry.request, context, context.remaining,
-                                          entry.max_bytes});
+    state_.out.emplace_back(
+        start_attempt{entry.attempt, peer_destination{chosen->instance, chosen->peer},
+                      entry.request, context, context.remaining, entry.max_bytes});
 }
 
 void outbound_calls::attempt_answered(attempt_id attempt, const call_end& end) {
@@ -179,6 +183,7 @@
     if (result == attempt_result::refused_leaving) {
         state_.members.announce_leaving(entry.instance);
     }
+    entry.last_end = end;
     entry.may_have_run = entry.may_have_run || end.info.result == outcome::unknown;
     if (may_retry(entry, end.info)) {
         schedule_retry(call);
@@ -196,8 +201,6 @@
 
 void outbound_calls::schedule_retry(call_id call) {
     auto& entry = calls_.at(call);
-    --entry.tokens;
-    ++state_.metrics.legs[entry.context.kind].retries;
     const auto jitter =
         duration(static_cast<duration::rep>(state_.random.below(retry_backoff.count())));
     entry.retry_at = state_.now + jitter;
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -53,6 +53,8 @@
         /// True once an attempt ended without saying that it did not run.
         bool may_have_run = false;
         std::optional<time_point> retry_at;
+        /// How the last attempt ended.
+        std::optional<call_end> last_end;
     };
 
     void begin(call_id call, outbound_call entry);
--- a/libs/emulator/include/trefoil/emulator/virtual_fleet.hpp
+++ b/libs/emulator/include/trefoil/emulator/virtual_fleet.hpp
@@ -114,7 +114,7 @@
     void start_core(const node_ptr& at);
     void deliver(const node_ptr& at, std::uint64_t run, event what);
     void step(const node_ptr& at, const event& what);
-    void perform(const node_ptr& at, actions todo);
+    void perform(const node_ptr& at, const actions& todo);
     void perform(const node_ptr& at, const respond& what);
     void perform(const node_ptr& at, const start_attempt& what);
     void perform(const node_ptr& at, const cancel_attempt& what);
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -56,14 +56,20 @@
                              std::uint64_t seed)
     : network_(network), work_of_(std::move(work)), random_(seed) {}
 
-virtual_fleet::~virtual_fleet() = default;
+virtual_fleet::~virtual_fleet() {
+    // Nodes and the calls between them refer to each other.
+    for (const auto& [instance, at] : nodes_) {
+        at->arrived.clear();
+        at->attempts.clear();
+    }
+}
 
 void virtual_fleet::add(fleet_member member) {
     auto added = std::make_shared<node>();
     added->member = std::move(member);
     const auto& core = added->member.core;
-    added->target = std::make_unique<fake_target>(clock_, core.service, added->member.target,
-                                                  random_());
+    added->target =
+        std::make_unique<fake_target>(clock_, core.service, added->member.target, random_());
     const std::weak_ptr<node> weak = added;
     added->target->set_hooks(
         [this, weak](request_ptr request, const call_context& context,
@@ -99,7 +105,9 @@
     return all;
 }
 
-node_core& virtual_fleet::core(const instance_id& instance) { return *nodes_.at(instance)->core; }
+node_core& virtual_fleet::core(const instance_id& instance) {
+    return *nodes_.at(instance)->core;
+}
 fake_target& virtual_fleet::target(const instance_id& instance) {
     return *nodes_.at(instance)->target;
 }
@@ -142,7 +150,7 @@
     perform(at, at->core->step(clock_.now(), what));
 }
 
-void virtual_fleet::perform(const node_ptr& at, actions todo) {
+void virtual_fleet::perform(const node_ptr& at, const actions& todo) {
     for (const auto& what : todo) {
         if (action_observer_) {
             action_observer_(at->member.core.self, what);
@@ -166,6 +174,7 @@
         return;
     }
     if (call->answered) {
+        call->is_closed = true;
         call->answered(what);
         return;
     }
@@ -209,8 +218,8 @@
 void virtual_fleet::send_to_peer(const node_ptr& from, const start_attempt& what,
                                  const instance_id& to) {
     const auto found = nodes_.find(to);
-    const auto fail = [this, from, run = from->run, attempt = what.attempt](
-                          duration delay, attempt_failure failure) {
+    const auto fail = [this, from, run = from->run,
+                       attempt = what.attempt](duration delay, attempt_failure failure) {
         clock_.after(delay, [this, from, run, attempt, failure] {
             if (from->run == run && from->attempts.erase(attempt) > 0) {
                 deliver(from, run, attempt_failed{attempt, failure});
@@ -257,8 +266,7 @@
     call->to = at;
     call->to_run = at->run;
     call->call = {++at->next_call};
-    call->answered = [this, call, done](const respond& what) {
-        call->is_closed = true;
+    call->answered = [this, done](const respond& what) {
         clock_.after(0us, [done, what] {
             done(what.answer ? what.answer->status : refused_status, what.info,
                  what.answer ? what.answer->body : "");
@@ -266,8 +274,8 @@
     };
     call->lost = [this, done] { clock_.after(0us, [done] { done(0, {}, ""); }); };
     at->arrived.emplace(call->call, call);
-    deliver(at, at->run, call_arrived{call->call, listener::app, std::move(request), context,
-                                      {}, {}});
+    deliver(at, at->run,
+            call_arrived{call->call, listener::app, std::move(request), context, {}, {}});
 }
 
 std::uint64_t virtual_fleet::submit(const instance_id& node, http_request request,
@@ -277,7 +285,8 @@
     auto call = std::make_shared<wire_call>();
     call->to = at;
     const auto sent = clock_.now();
-    const auto tell = [this, submission, done = std::move(done), sent](caller_result result) {
+    const auto tell = [this, submission, done = std::move(done),
+                       sent](const caller_result& result) {
         clock_.after(network_.caller_latency, [this, submission, done, sent, result] {
             if (submissions_.erase(submission) > 0) {
                 auto told = result;
@@ -382,9 +391,8 @@
     const bool unreachable =
         platform_mode_ == platform_mode::down || is_cut(at->domain(), platform_domain);
     if (unreachable || platform_mode_ == platform_mode::hanging) {
-        clock_.after(unreachable ? 1ms : platform_timeout, [this, at, run, what] {
-            deliver(at, run, platform_failed{what.document});
-        });
+        clock_.after(unreachable ? 1ms : platform_timeout,
+                     [this, at, run, what] { deliver(at, run, platform_failed{what.document}); });
         return;
     }
     const auto& document = documents_[what.document];
@@ -393,8 +401,7 @@
         return;
     }
     if (platform_mode_ == platform_mode::stale && document.at.value > 1) {
-        deliver(at, run,
-                document_read{what.document, {document.at.value - 1}, document.previous});
+        deliver(at, run, document_read{what.document, {document.at.value - 1}, document.previous});
         return;
     }
     if (document.at > what.after) {
@@ -436,7 +443,8 @@
 void virtual_fleet::drop_connections(const node_ptr& at) {
     auto arrived = std::move(at->arrived);
     at->arrived.clear();
-    for (const auto& [id, call] : arrived) {
+    for (const auto& entry : arrived) {
+        const auto call = entry.second;
         if (call->is_closed) {
             continue;
         }
@@ -453,7 +461,9 @@
     }
     auto attempts = std::move(at->attempts);
     at->attempts.clear();
-    for (const auto& [attempt, call] : attempts) {
+    for (const auto& entry : attempts) {
+        const auto attempt = entry.first;
+        const auto call = entry.second;
         if (!call) {
             at->target->cancel(attempt);
             continue;
@@ -483,10 +493,9 @@
             continue;
         }
         const auto& core = at->member.core;
-        const auto state =
-            leaving.contains(instance) ? member_state::leaving : member_state::live;
-        text += format_member({instance, core.service, core.domain, core.region,
-                               core.peer_address, core.peer_address, state}) +
+        const auto state = leaving.contains(instance) ? member_state::leaving : member_state::live;
+        text += format_member({instance, core.service, core.domain, core.region, core.peer_address,
+                               core.peer_address, state}) +
                 "\n";
     }
     publish(document_id::instances, text);
@@ -505,7 +514,9 @@
     cuts_.erase(std::minmax(one, other));
 }
 
-void virtual_fleet::pause(const instance_id& instance) { nodes_.at(instance)->is_paused = true; }
+void virtual_fleet::pause(const instance_id& instance) {
+    nodes_.at(instance)->is_paused = true;
+}
 
 void virtual_fleet::resume(const instance_id& instance) {
     const auto at = nodes_.at(instance);
--- a/libs/emulator/tests/virtual_fleet_test.cpp
+++ b/libs/emulator/tests/virtual_fleet_test.cpp
@@ -37,7 +37,8 @@
         fleet.add(make_member("a1", "a", "d1", 1));
         fleet.add(make_member("b1", "b", "d1", 2));
         fleet.add(make_member("b2", "b", "d2", 3));
-        fleet.publish(document_id::table, table_header + "default,*,*,*,5,1,1000,2,100,no,1000,99\n");
+        fleet.publish(document_id::table,
+                      table_header + "default,*,*,*,5,1,1000,2,100,no,1000,99\n");
         fleet.publish_members();
         fleet.clock().run_until(fleet.clock().now() + 1s);
     }
@@ -68,7 +69,8 @@
 
 TEST_CASE("a cell of the table changes what is refused") {
     two_services site;
-    site.fleet.publish(document_id::table, table_header + "default,*,*,*,5,1,1000,2,0,no,1000,99\n");
+    site.fleet.publish(document_id::table,
+                       table_header + "default,*,*,*,5,1,1000,2,0,no,1000,99\n");
     site.fleet.clock().run_until(site.fleet.clock().now() + 1s);
     const auto told = site.call();
     CHECK(told.info.result == outcome::not_run);
--- /dev/null
+++ b/libs/http/include/trefoil/http/header_rules.hpp
@@ -0,0 +1,24 @@
+// Which header fields are passed on.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <trefoil/wire/http_message.hpp>
+
+namespace trefoil {
+
+/// True for fields that belong to one connection or that the sender writes itself (RFC 9110 7.6.1,
+/// content-length, host).
+bool is_hop_by_hop(std::string_view lower_case_name);
+
+/// The value of the first field of this name, or empty.
+std::string_view find_header(const std::vector<http_header>& headers,
+                             std::string_view lower_case_name);
+
+/// The fields without those of this name.
+std::vector<http_header> without_header(std::vector<http_header> headers,
+                                        std::string_view lower_case_name);
+
+} // namespace trefoil
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -60,7 +60,9 @@
     return cost;
 }
 
-void router::started(const instance_id& instance) { ++peers_[instance].in_flight; }
+void router::started(const instance_id& instance) {
+    ++peers_[instance].in_flight;
+}
 
 void router::finished(time_point now, const instance_id& instance, attempt_result,
                       const std::optional<load_report>& load) {
--- a/libs/table/src/parse_table.cpp
+++ b/libs/table/src/parse_table.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t max_shown_value = 80;
 
 bool is_name_character(char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-           c == '-' || c == '_' || c == '.';
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_' || c == '.';
 }
 
 bool is_name(std::string_view text) {
@@ -129,15 +129,17 @@
     return row;
 }
 
-std::string joined_columns() { return fmt::format("{}", fmt::join(table_columns(), ",")); }
+std::string joined_columns() {
+    return fmt::format("{}", fmt::join(table_columns(), ","));
+}
 
 bool check_header(std::string_view line, char separator, table_errors& errors) {
     const auto cells = split_csv_line(line, separator);
     if (cells && *cells == table_columns()) {
         return true;
     }
-    errors.push_back({1, "", std::string(line.substr(0, max_shown_value)),
-                      "the header " + joined_columns()});
+    errors.push_back(
+        {1, "", std::string(line.substr(0, max_shown_value)), "the header " + joined_columns()});
     return false;
 }
 
@@ -186,9 +188,9 @@
             return;
         }
         if (cells->size() != table_columns().size()) {
-            errors_.push_back({number, "", shown,
-                               fmt::format("{} cells, found {}", table_columns().size(),
-                                           cells->size())});
+            errors_.push_back(
+                {number, "", shown,
+                 fmt::format("{} cells, found {}", table_columns().size(), cells->size())});
             return;
         }
         auto row = read_row(number, *cells, errors_);
@@ -207,8 +209,8 @@
 
 const std::vector<std::string>& table_columns() {
     static const std::vector<std::string> columns = {
-        "kind",    "service",       "method", "path",      "priority",   "weight", "deadline_ms",
-        "retries", "max_in_flight", "once",   "max_bytes", "slo_percent"};
+        "kind",        "service", "method",        "path", "priority",  "weight",
+        "deadline_ms", "retries", "max_in_flight", "once", "max_bytes", "slo_percent"};
     return columns;
 }
 
--- a/libs/table/tests/table_test.cpp
+++ b/libs/table/tests/table_test.cpp
@@ -56,7 +56,8 @@
     }
     CHECK(errors[8].line == 4);
     CHECK(errors[9].line == 5);
-    CHECK(to_string(errors[2]).find("line 3, column priority: '10': allowed is a whole number") == 0);
+    CHECK(to_string(errors[2]).find("line 3, column priority: '10': allowed is a whole number") ==
+          0);
 }
 
 TEST_CASE("a table without default, without text or too large is refused") {
--- a/libs/telemetry/src/latency_histogram.cpp
+++ b/libs/telemetry/src/latency_histogram.cpp
@@ -14,8 +14,8 @@
 constexpr double highest_ms = 1e6;
 constexpr unsigned bucket_count = 160;
 
-using log_axis = bh::axis::regular<double, bh::axis::transform::log, bh::use_default,
-                                   bh::axis::option::none_t>;
+using log_axis =
+    bh::axis::regular<double, bh::axis::transform::log, bh::use_default, bh::axis::option::none_t>;
 
 auto make_counts() {
     return bh::make_histogram_with(std::vector<std::uint64_t>(),
@@ -49,9 +49,13 @@
     buckets_->sum += value;
 }
 
-std::uint64_t latency_histogram::count() const { return buckets_->total; }
+std::uint64_t latency_histogram::count() const {
+    return buckets_->total;
+}
 
-duration latency_histogram::sum() const { return buckets_->sum; }
+duration latency_histogram::sum() const {
+    return buckets_->sum;
+}
 
 duration latency_histogram::quantile(double fraction) const {
     const auto wanted =
--- a/libs/wire/include/trefoil/wire/control_message.hpp
+++ b/libs/wire/include/trefoil/wire/control_message.hpp
@@ -97,7 +97,7 @@
     friend bool operator==(const cancel_notice&, const cancel_notice&) = default;
 };
 
-using control_message = std::variant<document_delta, document_digest, document_pull,
-                                     leaving_notice, suspect_notice, cancel_notice>;
+using control_message = std::variant<document_delta, document_digest, document_pull, leaving_notice,
+                                     suspect_notice, cancel_notice>;
 
 } // namespace trefoil
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -14,18 +14,21 @@
 constexpr std::uint32_t max_priority = 9;
 constexpr std::uint32_t max_retry_tokens = 1000;
 
-absl::Status out_of_range(std::string_view field) { return make_error(wire_failure::out_of_range, field); }
+absl::Status out_of_range(std::string_view field) {
+    return make_error(wire_failure::out_of_range, field);
+}
 
 template <class Message>
 absl::StatusOr<Message> decode_header(std::string_view text) {
     std::string bytes;
-    if (text.size() > max_header_bytes || 
+    if (text.size() > max_header_bytes ||
         !absl::WebSafeBase64Unescape(absl::string_view(text.data(), text.size()), &bytes)) {
         return make_error(wire_failure::bad_base64, "the header is not base64url");
     }
     Message message;
     if (!message.ParseFromString(bytes)) {
-        return make_error(wire_failure::bad_message, "the header is not a message of this protocol");
+        return make_error(wire_failure::bad_message,
+                          "the header is not a message of this protocol");
     }
     return message;
 }
@@ -97,8 +100,7 @@
     }
     document_delta delta{*document, {body.base()}, {body.to()}, body.hash(), body.header(), {}};
     for (const auto& row : body.rows()) {
-        delta.rows.push_back(
-            {row.key(), row.after(), row.text(), {row.changed()}, row.removed()});
+        delta.rows.push_back({row.key(), row.after(), row.text(), {row.changed()}, row.removed()});
     }
     return delta;
 }
@@ -114,7 +116,9 @@
 
 } // namespace
 
-absl::StatusCode status_code(wire_failure) { return absl::StatusCode::kInvalidArgument; }
+absl::StatusCode status_code(wire_failure) {
+    return absl::StatusCode::kInvalidArgument;
+}
 
 std::string_view name_of(wire_failure failure) {
     switch (failure) {
--- a/libs/wire/src/names.cpp
+++ b/libs/wire/src/names.cpp
@@ -28,10 +28,11 @@
 
 std::string_view name_of(refusal value) {
     static constexpr std::string_view names[] = {
-        "none",           "overload",        "level",           "chain_level", "deadline",
-        "no_instance",    "leaving",         "quarantined",     "kind_limit",  "bad_request",
-        "too_large",      "key_required",    "key_invalid",     "key_owner_gone",
-        "no_retry_tokens", "connection_lost", "cancelled",       "target_down", "no_table"};
+        "none",        "overload",       "level",           "chain_level",
+        "deadline",    "no_instance",    "leaving",         "quarantined",
+        "kind_limit",  "bad_request",    "too_large",       "key_required",
+        "key_invalid", "key_owner_gone", "no_retry_tokens", "connection_lost",
+        "cancelled",   "target_down",    "no_table"};
     return names[static_cast<std::size_t>(value)];
 }
 
--- /dev/null
+++ b/tests/process/process_site.hpp
@@ -0,0 +1,338 @@
+// A small site of real processes for tests: a platform's stand-in, nodes and their targets.
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http/http_client.hpp>
+#include <trefoil/membership/member_list.hpp>
+
+namespace trefoil {
+
+/// One process that a test started; it is ended with the test.
+class child_process {
+public:
+    child_process(std::vector<std::string> arguments, const std::string& log_file) {
+        std::vector<char*> argv;
+        for (auto& argument : arguments) {
+            argv.push_back(argument.data());
+        }
+        argv.push_back(nullptr);
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log_file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+        REQUIRE(posix_spawn(&pid_, argv[0], &files, nullptr, argv.data(), environ) == 0);
+        posix_spawn_file_actions_destroy(&files);
+    }
+
+    ~child_process() {
+        if (is_running()) {
+            ::kill(pid_, SIGCONT);
+            ::kill(pid_, SIGKILL);
+            wait();
+        }
+    }
+
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    void signal(int number) const { ::kill(pid_, number); }
+
+    bool is_running() {
+        if (status_) {
+            return false;
+        }
+        int status = 0;
+        if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+            status_ = status;
+            return false;
+        }
+        return true;
+    }
+
+    /// Waits for the end; the exit code, or -1 after a signal.
+    int wait() {
+        if (!status_) {
+            int status = 0;
+            ::waitpid(pid_, &status, 0);
+            status_ = status;
+        }
+        return WIFEXITED(*status_) ? WEXITSTATUS(*status_) : -1;
+    }
+
+private:
+    pid_t pid_ = 0;
+    std::optional<int> status_;
+};
+
+/// Describes one node and its target.
+struct site_member {
+    std::string name;
+    std::string service;
+    std::string domain = "d1";
+    std::string calls;
+    double work_ms = 1;
+    std::uint64_t slots = 16;
+};
+
+/// Runs processes, publishes documents and sends requests. All waits are for conditions.
+class process_site {
+public:
+    process_site() {
+        uv_loop_init(loop_);
+        client_ = std::make_unique<http_client>(loop_);
+        static int sites = 0;
+        directory_ = std::filesystem::temp_directory_path() /
+                     fmt::format("trefoil-site-{}-{}", ::getpid(), ++sites);
+        std::filesystem::create_directories(directory_);
+        platform_ = free_endpoint();
+        operate_ = free_endpoint();
+    }
+
+    ~process_site() {
+        nodes_.clear();
+        targets_.clear();
+        platform_process_.reset();
+        std::filesystem::remove_all(directory_);
+    }
+
+    void start_platform(const std::string& table) {
+        write("table.csv", table);
+        write("instances.csv", member_text({}));
+        platform_process_.emplace(
+            std::vector<std::string>{FAKE_PLATFORM, "--listen", to_string(platform_), "--operate",
+                                     to_string(operate_), "--table", file("table.csv"),
+                                     "--instances", file("instances.csv")},
+            file("platform.log"));
+        wait_until([&] { return get(operate_, "/calls").has_value(); });
+    }
+
+    /// Gives a node its addresses; it is listed from the next list on.
+    void add(site_member m) {
+        const auto name = m.name;
+        members_.emplace(name, std::move(m));
+        for (const auto* role : {"caller", "app", "peer", "control", "admin", "target"}) {
+            addresses_[name][role] = free_endpoint();
+        }
+    }
+
+    void start_target(const std::string& name) {
+        const auto& m = members_.at(name);
+        std::vector<std::string> arguments{FAKE_TARGET,
+                                           "--name",
+                                           m.service,
+                                           "--listen",
+                                           to_string(address(name, "target")),
+                                           "--node",
+                                           to_string(address(name, "app")),
+                                           "--work",
+                                           fmt::format("{}", m.work_ms),
+                                           "--slots",
+                                           std::to_string(m.slots)};
+        if (!m.calls.empty()) {
+            arguments.insert(arguments.end(), {"--calls", m.calls});
+        }
+        targets_.erase(name);
+        targets_.try_emplace(name, arguments, file(name + "-target.log"));
+        wait_until([&] { return get(address(name, "target"), "/_runs").has_value(); });
+    }
+
+    void start_node(const std::string& name) {
+        const auto& m = members_.at(name);
+        std::vector<std::string> arguments{TREFOIL_NODE,
+                                           "--instance",
+                                           name,
+                                           "--service",
+                                           m.service,
+                                           "--domain",
+                                           m.domain,
+                                           "--region",
+                                           "r",
+                                           "--slots",
+                                           std::to_string(m.slots),
+                                           "--platform",
+                                           to_string(platform_)};
+        for (const auto* role : {"caller", "app", "peer", "control", "admin"}) {
+            arguments.insert(arguments.end(),
+                             {fmt::format("--{}-listener", role), to_string(address(name, role))});
+        }
+        arguments.insert(arguments.end(), {"--target", to_string(address(name, "target"))});
+        nodes_.erase(name);
+        nodes_.try_emplace(name, arguments, file(name + "-node.log"));
+    }
+
+    /// Starts targets and nodes of all members and waits until each node serves.
+    void start_all() {
+        publish_members();
+        for (const auto& [name, m] : members_) {
+            start_target(name);
+            start_node(name);
+        }
+        for (const auto& [name, m] : members_) {
+            wait_until([&, node = name] {
+                return status_of(node).find(fmt::format("\"members\":{}", members_.size())) !=
+                       std::string::npos;
+            });
+        }
+    }
+
+    void publish(const std::string& key, const std::string& text) {
+        http_request request{"PUT", "/v1/kv/" + key, service_name("platform"), {}, text, "", ""};
+        REQUIRE(exchange(operate_, request).has_value());
+    }
+
+    void publish_members(const std::vector<std::string>& leaving = {}) {
+        publish("instances", member_text(leaving));
+    }
+
+    void set_platform_mode(const std::string& mode) {
+        REQUIRE(get(operate_, "/mode/" + mode).has_value());
+    }
+
+    /// A caller's request; nothing if no complete answer came.
+    std::optional<http_answer> call(const std::string& name, const std::string& method,
+                                    const std::string& path, const std::string& body,
+                                    std::vector<http_header> headers = {}) {
+        http_request request{
+            method, path, service_name(members_.at(name).service), std::move(headers), body,
+            "",     ""};
+        return exchange(address(name, "caller"), request);
+    }
+
+    std::string status_of(const std::string& name) {
+        const auto answer = get(address(name, "admin"), "/status");
+        return answer ? answer->body : "";
+    }
+
+    std::string metrics_of(const std::string& name) {
+        const auto answer = get(address(name, "admin"), "/metrics");
+        return answer ? answer->body : "";
+    }
+
+    std::uint64_t runs_of(const std::string& name) {
+        const auto answer = get(address(name, "target"), "/_runs");
+        return answer ? std::strtoull(answer->body.c_str(), nullptr, 10) : 0;
+    }
+
+    std::optional<http_answer> get(const endpoint& where, const std::string& path) {
+        return exchange(where, {"GET", path, service_name("x"), {}, "", "", ""});
+    }
+
+    std::optional<http_answer> exchange(const endpoint& where, const http_request& request) {
+        std::optional<exchange_result> result;
+        client_->send(where, request, {}, [&](exchange_result r) { result = std::move(r); });
+        while (!result) {
+            uv_run(loop_, UV_RUN_ONCE);
+        }
+        auto* answer = std::get_if<http_answer>(&*result);
+        return answer == nullptr ? std::nullopt : std::optional(std::move(*answer));
+    }
+
+    /// Sends without waiting; `done` is called while the loop runs.
+    void send(const std::string& name, const http_request& request,
+              http_client::done_handler done) {
+        client_->send(address(name, "caller"), request, {}, std::move(done));
+    }
+
+    void run_loop_once() { uv_run(loop_, UV_RUN_ONCE); }
+
+    /// Runs the loop until the condition holds. Fails after a limit that no working system needs.
+    void wait_until(const std::function<bool()>& condition) {
+        constexpr int max_polls = 3000;
+        for (int i = 0; i < max_polls; ++i) {
+            if (condition()) {
+                return;
+            }
+            ::usleep(20'000);
+            uv_run(loop_, UV_RUN_NOWAIT);
+        }
+        FAIL("a condition did not come true in 60 s");
+    }
+
+    child_process& node(const std::string& name) { return nodes_.at(name); }
+    child_process& target(const std::string& name) { return targets_.at(name); }
+    const endpoint& address(const std::string& name, const std::string& role) const {
+        return addresses_.at(name).at(role);
+    }
+    std::string log_of(const std::string& name) const {
+        std::ifstream in(file(name + "-node.log"));
+        return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    }
+
+private:
+    // Ports below the range from which the system picks those of outgoing connections.
+    static endpoint free_endpoint() {
+        static std::uint16_t next = static_cast<std::uint16_t>(10000 + ::getpid() % 1500 * 14);
+        while (true) {
+            endpoint candidate{"127.0.0.1", ++next};
+            const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+            sockaddr_in address{};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(candidate.port);
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            const bool is_free =
+                ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+            ::close(fd);
+            if (is_free) {
+                return candidate;
+            }
+        }
+    }
+
+    std::string member_text(const std::vector<std::string>& leaving) const {
+        std::string text = std::string(member_header) + "\n";
+        for (const auto& [name, m] : members_) {
+            const bool is_leaving =
+                std::find(leaving.begin(), leaving.end(), name) != leaving.end();
+            text +=
+                format_member({instance_id(name), service_name(m.service), domain_name(m.domain),
+                               region_name("r"), address(name, "peer"), address(name, "control"),
+                               is_leaving ? member_state::leaving : member_state::live}) +
+                "\n";
+        }
+        return text;
+    }
+
+    std::string file(const std::string& name) const { return (directory_ / name).string(); }
+
+    void write(const std::string& name, const std::string& text) const {
+        std::ofstream(file(name), std::ios::binary) << text;
+    }
+
+    uv_loop_t* loop_ = new uv_loop_t;
+    std::unique_ptr<http_client> client_;
+    std::filesystem::path directory_;
+    endpoint platform_;
+    endpoint operate_;
+    std::map<std::string, site_member> members_;
+    std::map<std::string, std::map<std::string, endpoint>> addresses_;
+    std::optional<child_process> platform_process_;
+    std::map<std::string, child_process> nodes_;
+    std::map<std::string, child_process> targets_;
+};
+
+/// The header of a table.
+inline const std::string table_header = "kind,service,method,path,priority,weight,deadline_ms,"
+                                        "retries,max_in_flight,once,max_bytes,slo_percent\n";
+
+} // namespace trefoil
