--- /dev/null
+++ b/libs/load/src/load_run.cpp
@@ -0,0 +1,345 @@
+#include <trefoil/load/load_run.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/random.hpp>
+#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http/http_client.hpp>
+
+namespace trefoil {
+namespace {
+
+constexpr std::size_t max_open_requests = 5000;
+constexpr std::uint64_t tick_ms = 1;
+constexpr duration window_length = 100ms;
+constexpr double normal_share = 0.9;
+constexpr duration settle_time = 2s;
+constexpr duration in_force_limit = 20s;
+constexpr duration poll_interval = 20ms;
+constexpr std::chrono::milliseconds late_grace{2000};
+constexpr int first_error_status = 400;
+constexpr int key_required_status = 428;
+
+time_point wall_now() {
+    return time_point(duration(uv_hrtime() / 1000));
+}
+
+/// Completions of the requests sent within one window.
+struct window {
+    std::uint64_t offered = 0;
+    std::uint64_t completed = 0;
+};
+
+class load_runner {
+public:
+    load_runner(const load_plan& plan, const phase_observer& on_phase)
+        : plan_(plan), on_phase_(on_phase), {
+        uv_loop_init(&loop_);
+        uv_timer_init(&loop_, &ticker_);
+        client_ = std::make_unique<http_client>(&loop_);
+    }
+
+    load_result run() {
+        uv_timer_start(
+            &ticker_, [](uv_timer_t*) {}, tick_ms, tick_ms);
+        started_ = wall_now();
+        for (const auto& phase : plan_.phases) {
+            run_phase(phase);
+        }
+        run_until([&] { return open_ == 0; }, settle_time + 5s);
+        collect_runs();
+        finish();
+        return std::move(result_);
+    }
+
+private:
+    struct open_request {
+        std::size_t kind = 0;
+        std::string body;
+        time_point sent;
+        std::size_t window = 0;
+        bool has_key = false;
+    };
+
+    template <class Condition>
+    void run_until(Condition done, duration limit) {
+        const auto end = wall_now() + limit;
+        while (!done() && wall_now() < end) {
+            uv_run(&loop_, UV_RUN_ONCE);
+        }
+    }
+
+    void run_phase(const planned_phase& phase) {
+        on_phase_(phase);
+        if (phase.name == "surge") {
+            surge_end_ = wall_now() + phase.length;
+        }
+        for (const auto& call : plan_.calls) {
+            if (call.phase == phase.name) {
+                make_call(call);
+            }
+        }
+        const auto begin = wall_now();
+        std::vector<std::uint64_t> sent(plan_.kinds.size(), 0);
+        std::uint64_t offered = 0;
+        while (wall_now() < begin + phase.length) {
+            const double elapsed = to_seconds(wall_now() - begin);
+            for (std::size_t i = 0; i < plan_.kinds.size(); ++i) {
+                const auto due =
+                    static_cast<std::uint64_t>(elapsed * plan_.kinds[i].rate * phase.factor);
+                for (; sent[i] < due; ++sent[i], ++offered) {
+                    offer(i);
+                }
+            }
+            uv_run(&loop_, UV_RUN_ONCE);
+        }
+        const double possible = phase.capacity * to_seconds(phase.length);
+        possible_ += possible > 0 ? std::min(possible, static_cast<double>(offered))
+                                  : static_cast<double>(offered);
+    }
+
+    void make_call(const planned_call& call) {
+        http_request request{
+            call.method, call.path, service_name(to_string(call.to)), {}, call.body, "", ""};
+        const bool publishes_table = call.path == "/v1/kv/table";
+        if (publishes_table && table_published_ == time_point{}) {
+            table_published_ = wall_now();
+            for (const auto& admin : plan_.admins) {
+                watch_table(admin, 0);
+            }
+        }
+        client_->send(call.to, request, {}, [](const exchange_result&) {});
+    }
+
+    // Polls a node until its table's revision is above the first one seen.
+    void watch_table(const endpoint& admin, std::uint64_t first_seen) {
+        http_request request{"GET", "/status", service_name("admin"), {}, "", "", ""};
+        client_->send(admin, request, {}, [this, admin, first_seen](const exchange_result& r) {
+            const auto* answer = std::get_if<http_answer>(&r);
+            const auto revision = answer == nullptr ? 0 : table_revision(answer->body);
+            if (first_seen != 0 && revision > first_seen) {
+                ++nodes_in_force_;
+                last_in_force_ = wall_now();
+            } else if (wall_now() - table_published_ < in_force_limit) {
+                poll_later(admin, first_seen != 0 ? first_seen : revision);
+            }
+        });
+    }
+
+    void poll_later(const endpoint& admin, std::uint64_t first_seen) {
+        struct poll {
+            uv_timer_t timer{};
+            load_runner* owner = nullptr;
+            endpoint admin;
+            std::uint64_t first_seen = 0;
+        };
+        auto* made = new poll{{}, this, admin, first_seen};
+        uv_timer_init(&loop_, &made->timer);
+        made->timer.data = made;
+        uv_timer_start(
+            &made->timer,
+            [](uv_timer_t* timer) {
+                auto* due = static_cast<poll*>(timer->data);
+                due->owner->watch_table(due->admin, due->first_seen);
+                uv_close(reinterpret_cast<uv_handle_t*>(timer),
+                         [](uv_handle_t* handle) { delete static_cast<poll*>(handle->data); });
+            },
+            static_cast<std::uint64_t>(poll_interval.count() / 1000), 0);
+    }
+
+    static std::uint64_t table_revision(const std::string& status) {
+        constexpr std::string_view mark = R"("table":{"revision":)";
+        const auto at = status.find(mark);
+        std::uint64_t value = 0;
+        if (at != std::string::npos) {
+            const auto* begin = status.data() + at + mark.size();
+            std::from_chars(begin, status.data() + status.size(), value);
+        }
+        return value;
+    }
+
+    void offer(std::size_t kind) {
+        auto& counts = result_.kinds[plan_.kinds[kind].kind];
+        ++counts.offered;
+        open_request request;
+        request.kind = kind;
+        request.body = fmt::format("r{}", ++last_body_);
+        request.sent = wall_now();
+        request.window = static_cast<std::size_t>((request.sent - started_) / window_length);
+        if (windows_.size() <= request.window) {
+            windows_.resize(request.window + 1);
+        }
+        ++windows_[request.window].offered;
+        if (open_ >= max_open_requests) {
+            ++counts.unknown;
+            return;
+        }
+        ++open_;
+        send(std::move(request), "");
+    }
+
+    void send(open_request request, const std::string& key) {
+        const auto& kind = plan_.kinds[request.kind];
+        http_request message{kind.method, kind.path, kind.service, {}, request.body, "", ""};
+        if (!key.empty()) {
+            message.headers.push_back({"idempotency-key", key});
+        }
+        exchange_limits limits;
+        limits.timeout =
+            std::chrono::duration_cast<std::chrono::milliseconds>(kind.deadline) + late_grace;
+        const auto entry = choose_entry(kind.service);
+        client_->send(entry, message, limits,
+                      [this, request = std::move(request)](const exchange_result& result) {
+                          ended(request, result);
+                      });
+    }
+
+    endpoint choose_entry(const service_name& service) {
+        std::vector<const endpoint*> fitting;
+        for (const auto& [name, where] : plan_.entries) {
+            if (name == service) {
+                fitting.push_back(&where);
+            }
+        }
+        return fitting.empty() ? endpoint{} : *fitting[random_.below(fitting.size())];
+    }
+
+    void ended(const open_request& request, const exchange_result& result) {
+        const auto* answer = std::get_if<http_answer>(&result);
+        const auto& kind = plan_.kinds[request.kind];
+        if (answer != nullptr && answer->status == key_required_status && kind.keyed &&
+            !request.has_key) {
+            auto again = request;
+            again.has_key = true;
+            send(std::move(again), std::string(find_header(answer->headers, "idempotency-key")));
+            return;
+        }
+        --open_;
+        auto& counts = result_.kinds[kind.kind];
+        const auto elapsed = wall_now() - request.sent;
+        if (answer == nullptr) {
+            ++counts.unknown;
+        } else if (answer->status < first_error_status) {
+            record_answer(counts, request, *answer, elapsed, kind.deadline);
+        } else if (find_header(answer->headers, "trefoil-outcome") == "not_run") {
+            ++counts.not_run;
+        } else {
+            ++counts.unknown;
+        }
+    }
+
+    void record_answer(kind_result& counts, const open_request& request, const http_answer& answer,
+                       duration elapsed, duration deadline) {
+        // Targets answer "(service body...)"; the body must be this request's own.
+        const auto own = fmt::format(" {}", request.body);
+        const auto at = answer.body.find(own);
+        const bool is_own = at != std::string::npos && at + own.size() < answer.body.size() &&
+                            !std::isdigit(static_cast<unsigned char>(answer.body[at + own.size()]));
+        if (!is_own) {
+            ++result_.foreign_answers;
+            ++counts.unknown;
+        } else if (elapsed > deadline) {
+            ++counts.unknown;
+        } else {
+            ++counts.completed;
+            ++windows_[request.window].completed;
+            counts.latency.record(elapsed);
+        }
+    }
+
+    // Asks each target how often it ran each request's body.
+    void collect_runs() {
+        std::size_t waiting = plan_.targets.size();
+        std::map<std::pair<service_name, std::string>, std::uint64_t> runs;
+        for (const auto& [service, where] : plan_.targets) {
+            http_request request{"GET", "/_counts", service, {}, "", "", ""};
+            client_->send(where, request, {}, [&, name = service](const exchange_result& result) {
+                --waiting;
+                const auto* answer = std::get_if<http_answer>(&result);
+                std::istringstream in(answer == nullptr ? "" : answer->body);
+                std::string body;
+                std::uint64_t count = 0;
+                while (in >> body >> count) {
+                    runs[{name, body}] += count;
+                }
+            });
+        }
+        run_until([&] { return waiting == 0; }, 5s);
+        for (const auto& [key, count] : runs) {
+            result_.retries_per_request_max =
+                std::max(result_.retries_per_request_max, count > 0 ? count - 1 : 0);
+        }
+    }
+
+    void finish() {
+        std::uint64_t completed = 0;
+        for (const auto& [kind, counts] : result_.kinds) {
+            completed += counts.completed;
+        }
+        result_.goodput = possible_ > 0 ? static_cast<double>(completed) / possible_ : 0;
+        if (surge_end_ != time_point{}) {
+            const auto first = static_cast<std::size_t>((surge_end_ - started_) / window_length);
+            for (std::size_t i = first; i < windows_.size(); ++i) {
+                const auto& w = windows_[i];
+                if (static_cast<double>(w.completed) <
+                    normal_share * static_cast<double>(w.offered)) {
+                    result_.recovery_s =
+                        static_cast<double>(i + 1 - first) * to_seconds(window_length);
+                }
+            }
+        }
+        if (table_published_ != time_point{} && nodes_in_force_ == plan_.admins.size()) {
+            result_.table_in_force_s = to_seconds(last_in_force_ - table_published_);
+        }
+    }
+
+    const load_plan& plan_;
+    const phase_observer& on_phase_;
+    uv_loop_t loop_{};
+    uv_timer_t ticker_{};
+    std::unique_ptr<http_client> client_;
+    random_source random_{1};
+    time_point started_;
+    time_point surge_end_;
+    time_point table_published_;
+    time_point last_in_force_;
+    std::size_t nodes_in_force_ = 0;
+    std::size_t open_ = 0;
+    std::uint64_t last_body_ = 0;
+    double possible_ = 0;
+    std::vector<window> windows_;
+    load_result result_;
+};
+
+} // namespace
+
+load_result run_load(const load_plan& plan, const phase_observer& on_phase) {
+    // Handles that are still closing refer to the runner until the process ends.
+    auto* runner = new load_runner(plan, on_phase);
+    return runner->run();
+}
+
+std::string to_text(const load_result& result) {
+    std::string text =
+        fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>9} {:>9}\n", "kind", "offered", "completed",
+                    "not_run", "unknown", "p50_ms", "p99_ms");
+    for (const auto& [kind, counts] : result.kinds) {
+        text +=
+            fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>9.2f} {:>9.2f}\n", kind, counts.offered,
+                        counts.completed, counts.not_run, counts.unknown,
+                        to_ms(counts.latency.quantile(0.5)), to_ms(counts.latency.quantile(0.99)));
+    }
+    text += fmt::format("goodput={:.2f} recovery_s={:.1f} retries_per_request_max={} "
+                        "table_in_force_s={:.2f}\n",
+                        result.goodput, result.recovery_s, result.retries_per_request_max,
+                        result.table_in_force_s);
+    return text;
+}
+
+} // namespace trefoil
--- a/libs/settings/include/trefoil/settings/option_set.hpp
+++ b/libs/settings/include/trefoil/settings/option_set.hpp
@@ -69,6 +69,9 @@
     /// Reads the environment, then the command line, and collects every error.
     parse_result parse(int argc, char** argv);
 
+    /// The program's name.
+    const std::string& program() const { return program_; }
+
     /// The text of --help.
     std::string help() const;
 
--- a/tests/standins/fake_platform_main.cpp
+++ b/tests/standins/fake_platform_main.cpp
@@ -12,7 +12,7 @@
 
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http/http_server.hpp>
-#include <trefoil/settings/option_set.hpp>
+#include <trefoil/settings/tool_main.hpp>
 
 using namespace trefoil;
 
@@ -178,12 +178,6 @@
     options.add_endpoint("operate", &platform.operate, "where a test publishes", true);
     options.add_text("table", &platform.table_file, "file with the first table", false);
     options.add_text("instances", &platform.instances_file, "file with the first list", false);
-    const auto parsed = options.parse(argc, argv);
-    if (const auto* refused = std::get_if<settings_refused>(&parsed)) {
-        for (const auto& error : refused->errors) {
-            fmt::print(stderr, "{}\n", to_string(error));
-        }
-        return exit_bad_settings;
-    }
-    return fake_platform(platform).run();
+    return tool_main(options, argc, argv,
+                     [&](const run_program&) { return fake_platform(platform).run(); });
 }
--- a/tests/standins/fake_target_main.cpp
+++ b/tests/standins/fake_target_main.cpp
@@ -14,7 +14,7 @@
 #include <trefoil/http/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/http/http_server.hpp>
-#include <trefoil/settings/option_set.hpp>
+#include <trefoil/settings/tool_main.hpp>
 
 using namespace trefoil;
 
@@ -86,6 +86,14 @@
             server_->respond(id, {200, {}, fmt::format("{}\n", runs_)});
             return;
         }
+        if (request.path == "/_counts") {
+            std::string text;
+            for (const auto& [body, count] : counts_) {
+                text += fmt::format("{} {}\n", body, count);
+            }
+            server_->respond(id, {200, {}, std::move(text)});
+            return;
+        }
         jobs_.emplace(id, job{std::move(request), 0, options_.repeats, ""});
         waiting_.push_back(id);
         start_waiting();
@@ -104,6 +112,7 @@
 
     void start(exchange_id id) {
         ++runs_;
+        ++counts_[jobs_.at(id).request.body];
         if (jobs_.at(id).request.path.find("crash") != std::string::npos) {
             std::abort();
         }
@@ -195,6 +204,8 @@
     std::deque<exchange_id> waiting_;
     std::uint64_t busy_ = 0;
     std::uint64_t runs_ = 0;
+    /// Runs by request body.
+    std::unordered_map<std::string, std::uint64_t> counts_;
     double slowness_ = 1;
     random_source random_{1};
 };
@@ -212,12 +223,6 @@
     options.add_number("work", &target.work_ms, 0, 60000, "ms", "mean work of a request");
     options.add_count("slots", &target.slots, 1, 100000, "requests", "requests worked on at once");
     options.add_count("repeats", &target.repeats, 0, 10, "calls", "repeats of failed calls");
-    const auto parsed = options.parse(argc, argv);
-    if (const auto* refused = std::get_if<settings_refused>(&parsed)) {
-        for (const auto& error : refused->errors) {
-            fmt::print(stderr, "{}\n", to_string(error));
-        }
-        return exit_bad_settings;
-    }
-    return fake_target_process(target).run();
+    return tool_main(options, argc, argv,
+                     [&](const run_program&) { return fake_target_process(target).run(); });
 }
--- /dev/null
+++ b/tools/trefoil-load/compare_command.cpp
@@ -0,0 +1,32 @@
+#include <csignal>
+
+#include <fmt/format.h>
+
+#include <trefoil/load/latency_compare.hpp>
+#include <trefoil/settings/tool_main.hpp>
+
+#include "commands.hpp"
+
+namespace trefoil {
+
+int compare_command(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::optional<endpoint> direct;
+    std::optional<endpoint> through;
+    compare_plan plan;
+    option_set options("trefoil-load compare", "measures the latency that two nodes add");
+    options.add_endpoint("direct", &direct, "the target itself", true);
+    options.add_endpoint("through", &through,
+                         "a node's caller listener, two nodes away from the target", true);
+    options.add_text("service", &plan.service, "the target's service", true);
+    options.add_count("pairs", &plan.pairs, 1, 1'000'000, "pairs", "how many pairs are sent");
+    options.add_number("rate", &plan.rate, 0.1, 100'000, "pairs/s", "how many a second");
+    return tool_main(options, argc, argv, [&](const run_program&) {
+        plan.direct = *direct;
+        plan.through = *through;
+        fmt::print("{}", to_text(compare_latency(plan)));
+        return 0;
+    });
+}
+
+} // namespace trefoil
--- a/tools/trefoil-node/main.cpp
+++ b/tools/trefoil-node/main.cpp
@@ -2,8 +2,8 @@
 #include <fmt/format.h>
 
 #include <trefoil/base/log.hpp>
-#include <trefoil/base/overloaded.hpp>
 #include <trefoil/node/node_process.hpp>
+#include <trefoil/settings/tool_main.hpp>
 
 using namespace trefoil;
 
@@ -29,25 +29,5 @@
     node_settings settings;
     option_set options("trefoil-node", "overload control beside one target instance");
     declare_options(options, settings);
-    return std::visit(overloaded{
-                          [&](const run_program&) { return run_node(settings); },
-                          [&](const show_help&) {
-                              fmt::print("{}", options.help());
-                              return 0;
-                          },
-                          [](const show_version&) {
-                              fmt::print("trefoil-node {}\n", program_version);
-                              return 0;
-                          },
-                          [](const settings_refused& refused) {
-                              for (const auto& error : refused.errors) {
-                                  write_log({log_event::setting_invalid,
-                                             {{"name", error.name},
-                                              {"value", error.value},
-                                              {"allowed", error.allowed}}});
-                              }
-                              return exit_bad_settings;
-                          },
-                      },
-                      options.parse(argc, argv));
+    return tool_main(options, argc, argv, [&](const run_program&) { return run_node(settings); });
 }
