--- /dev/null
+++ b/libs/once/src/key_mint.cpp
@@ -0,0 +1,61 @@
+#include <trefoil/once/key_mint.hpp>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace trefoil {
+namespace {
+
+// The length in front keeps neighbouring fields apart.
+void append_field(std::string& text, std::string_view field) {
+    text += fmt::format("{}:", field.size());
+    text += field;
+}
+
+} // namespace
+
+std::string request_digest(const std::string& secret, const std::string& name,
+                           const http_request& request) {
+    std::string text;
+    text.reserve(name.size() + request.path.size() + request.body.size() + 256);
+    append_field(text, name);
+    append_field(text, request.caller);
+    append_field(text, request.service.str());
+    append_field(text, request.method);
+    append_field(text, request.path);
+    append_field(text, request.body);
+    std::uint8_t digest[EVP_MAX_MD_SIZE];
+    unsigned int length = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const std::uint8_t*>(text.data()), text.size(), digest, &length);
+    return {reinterpret_cast<const char*>(digest), length};
+}
+
+idempotency_key key_mint::issue(time_point now, const http_request& request) {
+    idempotency_key key{owner_, incarnation_, ++last_number_, now, {}};
+    key.mac = code_of(key, request);
+    return key;
+}
+
+bool key_mint::verify(const idempotency_key& key, const http_request& request) const {
+    if (key.owner != owner_ || key.incarnation != incarnation_) {
+        return false;
+    }
+    const auto expected = code_of(key, request);
+    return CRYPTO_memcmp(expected.data(), key.mac.data(), expected.size()) == 0;
+}
+
+key_mac key_mint::code_of(const idempotency_key& key, const http_request& request) const {
+    auto without_code = key;
+    without_code.mac = {};
+    const auto digest = request_digest(secret_, to_string(without_code), request);
+    key_mac mac{};
+    std::copy_n(digest.begin(), mac.size(), mac.begin());
+    return mac;
+}
+
+} // namespace trefoil
