Run requests that must not be repeated at most once

Such a request without a key is answered 428 with a key of this node. A request with a key is passed to the run of the node that issued it and to no other. The owner begins it once; sent again it joins the first or gets the kept answer. After the kept time, under memory pressure, after a restart of the owner or while the owner can't be reached the outcome is unknown, never a second run. A run goes on when its caller is gone. A key stays bound to its owner even if the table no longer asks for keys.

Requests of other kinds with a key of the caller's own join the first of the same caller, service, method, path and body at the same node.

--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -9,6 +9,7 @@
 #include <trefoil/core/events.hpp>
 #include <trefoil/documents/document_exchange.hpp>
 #include <trefoil/membership/membership.hpp>
+#include <trefoil/once/kept_runs.hpp>
 #include <trefoil/table/table.hpp>
 #include <trefoil/telemetry/call_metrics.hpp>
 
@@ -24,6 +25,11 @@
     endpoint peer_address;
     /// Chosen at random for each run of the process.
     incarnation_id incarnation;
+    /// Secret of this run of the process, by which it knows the idempotency keys that it gave out.
+    std::string key_secret;
+    /// Bounds of what is kept of requests that must not be repeated. A key may be used for the
+    /// first time within the same lifetime after its issue.
+    kept_limits kept_once;
     admission_settings admission;
     /// How long a stop waits for calls in flight.
     duration drain_limit = 30s;
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -9,6 +9,7 @@
 #include "core_state.hpp"
 #include "document_rules.hpp"
 #include "inbound_calls.hpp"
+#include "once_calls.hpp"
 #include "outbound_calls.hpp"
 
 namespace trefoil {
@@ -36,7 +37,12 @@
                   inbound_.arrive(local_call(attempt), reply_to_attempt{attempt},
                                   std::move(request), std::move(context));
               },
-              [this](attempt_id attempt) { inbound_.abandon(local_call(attempt)); }),
+              [this](attempt_id attempt) { inbound_.abandon(local_call(attempt)); },
+              [this](call_id call, const call_end& end) { end_outbound(call, end); }),
+          once_(state_,
+                [this](call_id run, request_ptr request, bool once) {
+                    outbound_.arrive_from_caller(run, std::move(request), once);
+                }),
           documents_({state_.settings.self, state_.settings.domain, state_.settings.region,
                       state_.settings.seed, validate_document}) {}
 
@@ -63,7 +69,7 @@
                 documents_.status(document_id::instances),
                 state_.admitter.load(),
                 state_.admitter.threshold(),
-                inbound_.size() + outbound_.size(),
+                calls(),
                 outbound_.attempts(),
                 state_.members.all().size(),
                 state_.target_is_up,
@@ -76,17 +82,23 @@
 private:
     void on(const call_arrived& e) {
         if (e.from == listener::caller) {
-            outbound_.arrive_from_caller(e.call, e.request);
+            if (!once_.arrive_from_caller(e.call, e.request)) {
+                outbound_.arrive_from_caller(e.call, e.request, false);
+            }
         } else if (e.from == listener::app) {
             arrive_from_app(e);
         } else if (e.context) {
             inbound_.arrive(e.call, reply_to_listener{e.call}, e.request, *e.context);
         } else {
-            state_.out.emplace_back(
-                respond{e.call,
-                        nullptr,
-                        refused(refusal::bad_request, 0, state_.settings.incarnation),
-                        {}});
+            once_.arrive_from_peer(e.call, e.request);
+        }
+    }
+
+    void end_outbound(call_id call, const call_end& end) {
+        if (once_calls::is_run(call)) {
+            once_.run_ended(call, end);
+        } else {
+            state_.out.emplace_back(respond{call, end.answer, end.info, {}});
         }
     }
 
@@ -102,6 +114,7 @@
     }
 
     void on(const call_abandoned& e) {
+        once_.abandon(e.call);
         outbound_.abandon(e.call);
         inbound_.abandon(e.call);
     }
@@ -109,6 +122,8 @@
     void on(const attempt_answered& e) {
         if (inbound_.owns(e.attempt)) {
             inbound_.target_answered(e.attempt, e.answer, e.info);
+        } else if (once_.owns(e.attempt)) {
+            once_.owner_answered(e.attempt, {e.answer, e.info});
         } else {
             outbound_.attempt_answered(e.attempt, {e.answer, e.info});
         }
@@ -117,6 +132,8 @@
     void on(const attempt_failed& e) {
         if (inbound_.owns(e.attempt)) {
             inbound_.target_failed(e.attempt, e.failure);
+        } else if (once_.owns(e.attempt)) {
+            once_.owner_failed(e.attempt);
         } else {
             outbound_.attempt_failed(e.attempt, e.failure);
         }
@@ -171,11 +188,12 @@
 
     void on(const timer_fired&) {}
 
-    std::size_t calls() const { return inbound_.size() + outbound_.size(); }
+    std::size_t calls() const { return inbound_.size() + outbound_.size() + once_.size(); }
 
     void expire() {
         outbound_.advance();
         inbound_.advance();
+        once_.advance();
         apply(documents_.advance(state_.now));
     }
 
@@ -253,6 +271,7 @@
     core_state state_;
     inbound_calls inbound_;
     outbound_calls outbound_;
+    once_calls once_;
     document_exchange documents_;
     std::optional<time_point> armed_;
     time_point stop_at_;
--- /dev/null
+++ b/libs/core/src/once_calls.cpp
@@ -0,0 +1,234 @@
+#include "once_calls.hpp"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+/// Ids of runs; above the shell's calls.
+constexpr std::uint64_t run_bit = 1ULL << 63U;
+constexpr kept_limits joined_limits{30s, 10'000, 8'000'000};
+/// Time beyond the request's own deadline in which its owner's answer is awaited.
+constexpr duration owner_grace = 100ms;
+constexpr int first_server_error = 500;
+
+} // namespace
+
+once_calls::once_calls(core_state& state, run_start start)
+    : state_(state), start_(std::move(start)),
+      mint_(state.settings.key_secret, state.settings.peer_address, state.settings.incarnation),
+      owned_(state.settings.kept_once), joined_(joined_limits) {}
+
+bool once_calls::is_run(call_id call) {
+    return (call.value & run_bit) != 0;
+}
+
+bool once_calls::arrive_from_caller(call_id call, const request_ptr& request) {
+    const auto key = parse_idempotency_key(request->idempotency_key);
+    if (key && key->owner == state_.settings.peer_address) {
+        serve_owned(call, request, *key);
+        return true;
+    }
+    if (key) {
+        forward(call, request, *key);
+        return true;
+    }
+    if (!state_.current) {
+        return false;
+    }
+    if (state_.current->match(request->service, request->method, request->path).once) {
+        give_key(call, *request);
+        return true;
+    }
+    return !request->idempotency_key.empty() && join_or_start(call, request);
+}
+
+void once_calls::arrive_from_peer(call_id call, const request_ptr& request) {
+    const auto key = parse_idempotency_key(request->idempotency_key);
+    if (!key) {
+        refuse(call, outcome::not_run, refusal::bad_request);
+    } else {
+        serve_owned(call, request, *key);
+    }
+}
+
+void once_calls::give_key(call_id call, const http_request& request) {
+    if (state_.is_leaving()) {
+        refuse(call, outcome::not_run, refusal::leaving);
+        return;
+    }
+    const auto key = mint_.issue(state_.now, request);
+    state_.out.emplace_back(respond{call, nullptr,
+                                    refused(refusal::key_required, 0, state_.settings.incarnation),
+                                    to_string(key)});
+}
+
+void once_calls::serve_owned(call_id call, const request_ptr& request, const idempotency_key& key) {
+    const bool is_own =
+        key.owner == state_.settings.peer_address && key.incarnation == state_.settings.incarnation;
+    if (!is_own) {
+        refuse(call, outcome::unknown, refusal::key_owner_gone);
+        return;
+    }
+    if (!mint_.verify(key, *request)) {
+        refuse(call, outcome::not_run, refusal::key_invalid);
+        return;
+    }
+    if (const auto running = run_by_number_.find(key.number); running != run_by_number_.end()) {
+        join(call, running->second);
+        return;
+    }
+    if (const auto* end = owned_.end_of(key.number)) {
+        state_.out.emplace_back(respond{call, end->answer, end->info, {}});
+        return;
+    }
+    // An ended request is kept for as long as its key may be used: a younger key that is not kept
+    // was never used.
+    const bool may_be_forgotten = key.number <= forgotten_up_to_ ||
+                                  key.issued + state_.settings.kept_once.lifetime <= state_.now;
+    if (may_be_forgotten) {
+        refuse(call, outcome::unknown, refusal::key_owner_gone);
+    } else if (state_.is_leaving()) {
+        refuse(call, outcome::not_run, refusal::leaving);
+    } else {
+        start(call, request, {key.number, {}}, true);
+    }
+}
+
+void once_calls::forward(call_id call, const request_ptr& request, const idempotency_key& key) {
+    const auto* owner = member_at(key.owner);
+    if (owner == nullptr || !state_.current) {
+        refuse(call, outcome::unknown,
+               owner == nullptr ? refusal::key_owner_gone : refusal::no_table);
+        return;
+    }
+    const auto& row = state_.current->match(request->service, request->method, request->path);
+    const auto attempt = state_.next_attempt();
+    forwards_.emplace(attempt, call);
+    waiting_.emplace(call, waiting_call{{}, attempt});
+    state_.out.emplace_back(start_attempt{attempt, peer_destination{owner->instance, owner->peer},
+                                          request, std::nullopt, row.deadline + owner_grace,
+                                          row.max_bytes});
+}
+
+bool once_calls::join_or_start(call_id call, const request_ptr& request) {
+    auto digest = request_digest(state_.settings.key_secret, request->idempotency_key, *request);
+    if (const auto running = run_by_digest_.find(digest); running != run_by_digest_.end()) {
+        join(call, running->second);
+        return true;
+    }
+    const auto* end = joined_.end_of(digest);
+    if (end == nullptr) {
+        start(call, request, {0, std::move(digest)}, false);
+        return true;
+    }
+    if (end->answer) {
+        state_.out.emplace_back(respond{call, end->answer, end->info, {}});
+        return true;
+    }
+    return false;
+}
+
+void once_calls::start(call_id call, const request_ptr& request, run_key key, bool once) {
+    const call_id run{++last_run_ | run_bit};
+    if (once) {
+        owned_.begin(key.number);
+        run_by_number_.emplace(key.number, run);
+    } else {
+        joined_.begin(key.digest);
+        run_by_digest_.emplace(key.digest, run);
+    }
+    runs_.emplace(run, running{std::move(key), {}});
+    join(call, run);
+    start_(run, request, once);
+}
+
+void once_calls::join(call_id call, call_id run) {
+    runs_.at(run).waiters.push_back(call);
+    waiting_.emplace(call, waiting_call{run, {}});
+}
+
+void once_calls::run_ended(call_id run, const call_end& end) {
+    const auto found = runs_.find(run);
+    const auto ended = std::move(found->second);
+    runs_.erase(found);
+    keep(ended.key, end);
+    for (const auto waiter : ended.waiters) {
+        waiting_.erase(waiter);
+        state_.out.emplace_back(respond{waiter, end.answer, end.info, {}});
+    }
+}
+
+void once_calls::keep(const run_key& key, const call_end& end) {
+    if (key.digest.empty()) {
+        run_by_number_.erase(key.number);
+        if (end.info.result == outcome::not_run) {
+            owned_.forget(key.number);
+        } else {
+            owned_.end(state_.now, key.number, {end.answer, end.info});
+        }
+        return;
+    }
+    run_by_digest_.erase(key.digest);
+    const bool is_final = end.info.result == outcome::completed && end.answer &&
+                          end.answer->status < first_server_error;
+    if (is_final) {
+        joined_.end(state_.now, key.digest, {end.answer, end.info});
+    } else {
+        joined_.forget(key.digest);
+    }
+}
+
+void once_calls::abandon(call_id call) {
+    const auto found = waiting_.find(call);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const auto where = found->second;
+    waiting_.erase(found);
+    if (where.forward.value != 0) {
+        forwards_.erase(where.forward);
+        state_.out.emplace_back(cancel_attempt{where.forward});
+    } else {
+        std::erase(runs_.at(where.run).waiters, call);
+    }
+}
+
+void once_calls::owner_answered(attempt_id attempt, const call_end& end) {
+    const auto call = forwards_.at(attempt);
+    forwards_.erase(attempt);
+    waiting_.erase(call);
+    state_.out.emplace_back(respond{call, end.answer, end.info, {}});
+}
+
+void once_calls::owner_failed(attempt_id attempt) {
+    const auto call = forwards_.at(attempt);
+    forwards_.erase(attempt);
+    waiting_.erase(call);
+    // The key may have been used before: that the owner can't be reached now proves nothing.
+    refuse(call, outcome::unknown, refusal::connection_lost);
+}
+
+void once_calls::advance() {
+    for (const auto number : owned_.trim(state_.now)) {
+        forgotten_up_to_ = std::max(forgotten_up_to_, number);
+    }
+    joined_.trim(state_.now);
+}
+
+void once_calls::refuse(call_id call, outcome result, refusal reason) {
+    auto info = refused(reason, 0, state_.settings.incarnation);
+    info.result = result;
+    state_.out.emplace_back(respond{call, nullptr, info, {}});
+}
+
+const member* once_calls::member_at(const endpoint& peer) const {
+    for (const auto& candidate : state_.members.all()) {
+        if (candidate.peer.port == peer.port && candidate.peer == peer) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace trefoil
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -48,10 +48,9 @@
 
 } // namespace
 
-void outbound_calls::arrive_from_caller(call_id call, request_ptr request) {
+void outbound_calls::arrive_from_caller(call_id call, request_ptr request, bool once) {
     if (!state_.current) {
-        state_.out.emplace_back(
-            respond{call, nullptr, refused(refusal::no_table, 0, state_.settings.incarnation), {}});
+        sink_(call, {nullptr, refused(refusal::no_table, 0, state_.settings.incarnation)});
         return;
     }
     const auto& row = state_.current->match(request->service, request->method, request->path);
@@ -59,7 +58,7 @@
     entry.context.request = {state_.random(), state_.random()};
     entry.context.kind = row.kind;
     entry.context.priority = row.priority;
-    entry.context.once = row.once;
+    entry.context.once = once || row.once;
     entry.request = std::move(request);
     entry.arrived = state_.now;
     entry.deadline = state_.now + row.deadline;
@@ -222,7 +221,7 @@
         record_end(state_.metrics.edge[entry.context.kind], end.info,
                    end.answer ? end.answer->status : 0, state_.now - entry.arrived);
     }
-    state_.out.emplace_back(respond{call, end.answer, end.info, {}});
+    sink_(call, end);
 }
 
 void outbound_calls::abandon(call_id call) {
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -15,12 +15,16 @@
     /// Hands an attempt to the own target's side of this node.
     using local_start = std::function<void(attempt_id, request_ptr, call_context)>;
     using local_cancel = std::function<void(attempt_id)>;
+    /// Tells how a call ended to whoever sent it.
+    using end_sink = std::function<void(call_id, const call_end&)>;
 
-    outbound_calls(core_state& state, local_start start, local_cancel cancel)
-        : state_(state), start_local_(std::move(start)), cancel_local_(std::move(cancel)) {}
+    outbound_calls(core_state& state, local_start start, local_cancel cancel, end_sink sink)
+        : state_(state), start_local_(std::move(start)), cancel_local_(std::move(cancel)),
+          sink_(std::move(sink)) {}
 
-    /// A caller's request: the table gives its context.
-    void arrive_from_caller(call_id call, request_ptr request);
+    /// A caller's request: the table gives its context. With `once` it must not be repeated, even
+    /// if the table in force allows it.
+    void arrive_from_caller(call_id call, request_ptr request, bool once);
     /// A call of the own target; `parent` is the call that it belongs to, or null.
     void arrive_from_app(call_id call, request_ptr request, const call_context* parent,
                          time_point parent_deadline, call_id parent_call);
@@ -68,6 +72,7 @@
     core_state& state_;
     local_start start_local_;
     local_cancel cancel_local_;
+    end_sink sink_;
     std::unordered_map<call_id, outbound_call> calls_;
     std::unordered_map<attempt_id, call_id> by_attempt_;
     std::multimap<time_point, call_id> wakes_;
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -120,6 +120,7 @@
     ++at->run;
     settings.incarnation = {random_()};
     settings.seed = random_();
+    settings.key_secret = std::to_string(random_());
     at->is_running = true;
     at->is_paused = false;
     at->held.clear();
--- a/libs/node/include/trefoil/node/node_settings.hpp
+++ b/libs/node/include/trefoil/node/node_settings.hpp
@@ -30,7 +30,11 @@
 /// Declares a node's flags. The settings must outlive the options.
 void declare_options(option_set& options, node_settings& settings);
 
-/// The core's part of the settings, with a new incarnation.
-core_settings to_core_settings(const node_settings& settings, std::uint64_t random);
+/// Length in bytes of the secret that a run of a node makes for itself.
+inline constexpr std::size_t key_secret_bytes = 32;
+
+/// The core's part of the settings, with a new incarnation and the secret of this run.
+core_settings to_core_settings(const node_settings& settings, std::uint64_t random,
+                               std::string key_secret);
 
 } // namespace trefoil
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -33,12 +33,22 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+std::string random_secret() {
+    std::random_device device;
+    std::string secret;
+    while (secret.size() < key_secret_bytes) {
+        secret.push_back(static_cast<char>(device()));
+    }
+    return secret;
+}
+
 } // namespace
 
 class node_process::impl {
 public:
     explicit impl(const node_settings& settings)
-        : settings_(settings), core_settings_(to_core_settings(settings, random_seed())),
+        : settings_(settings),
+          core_settings_(to_core_settings(settings, random_seed(), random_secret())),
           core_(core_settings_), started_(loop_now()) {
         uv_loop_init(&loop_);
         client_ = std::make_unique<http_client>(&loop_);
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -32,7 +32,8 @@
     options.add_switch("check-settings", &s.check_only, "checks the settings and exits");
 }
 
-core_settings to_core_settings(const node_settings& s, std::uint64_t random) {
+core_settings to_core_settings(const node_settings& s, std::uint64_t random,
+                               std::string key_secret) {
     core_settings core;
     core.self = instance_id(s.instance);
     core.service = service_name(s.service);
@@ -40,6 +41,7 @@
     core.region = region_name(s.region);
     core.peer_address = *s.peer_listener;
     core.incarnation = {random};
+    core.key_secret = std::move(key_secret);
     core.admission = {static_cast<std::uint32_t>(s.slots),
                       static_cast<std::uint32_t>(s.connections), s.queue_per_slot};
     core.drain_limit = s.drain_limit;
