--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -4,16 +4,44 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include <trefoil/admission/concurrency_limit.hpp>
+#include <trefoil/admission/service_times.hpp>
 #include <trefoil/base/ids.hpp>
 #include <trefoil/base/time.hpp>
 #include <trefoil/wire/call_context.hpp>
 
 namespace trefoil {
 
+/// The parts of overload control, each of which can be switched off to measure what it does.
+struct admission_policy {
+    /// Calls are held back by a limit; without it each is handed on at once.
+    bool limit = true;
+    /// The limit follows what the target bears; without it it is the number of slots.
+    bool adaptive_limit = true;
+    /// Calls wait by position, the lowest first; without it in order of arrival.
+    bool priority_order = true;
+    /// Calls that can't finish in their remaining time are refused.
+    bool deadline_refusal = true;
+    /// A threshold over positions is set under pressure.
+    bool level = true;
+    /// What would be refused further down is refused here.
+    bool chain_level = true;
+    /// A target that comes back gets few calls at first.
+    bool slow_start = true;
+
+    friend bool operator==(const admission_policy&, const admission_policy&) = default;
+};
+
+/// Every call is handed on at once.
+inline constexpr admission_policy no_admission{false, false, false, false, false, false, false};
+/// A fixed limit and a queue in order of arrival.
+inline constexpr admission_policy fixed_admission{true, false, false, false, false, false, false};
+
 /// Limits of one target.
 struct admission_settings {
     /// Calls that the target works on at once.
@@ -22,6 +50,10 @@
     std::uint32_t connections = 1;
     /// Calls that may wait, as a multiple of the slots.
     double queue_per_slot = 1.0;
+    /// How fast the threshold rises again when there is no pressure, from 0 (slowly, which keeps
+    /// more goodput under lasting overload) to 1 (fast, which returns to normal sooner).
+    double recovery_speed = 0.5;
+    admission_policy policy = {};
 
     friend bool operator==(const admission_settings&, const admission_settings&) = default;
 };
@@ -62,13 +94,14 @@
 /// the present in. A call is in exactly one of three places: waiting, in flight, or gone.
 class admission {
 public:
-    explicit admission(admission_settings settings) : settings_(settings) {}
+    explicit admission(admission_settings settings);
 
     /// Puts the call into the queue, or refuses it: then a reason other than none is returned.
     refusal offer(time_point now, const admission_request& request);
 
     /// Takes calls out of the queue: those to hand to the target now and those to refuse, in that
-    /// order of decision. Calls to hand on count as in flight from here.
+    /// order of decision. Calls to hand on count as in flight from here. Its cost depends on what
+    /// changes and not on the length of the queue, but for calls that wait for their kind's limit.
     std::vector<admission_change> advance(time_point now);
 
     /// Ends a call that was in flight.
@@ -90,22 +123,34 @@
     std::optional<time_point> next_deadline() const;
 
 private:
+    using queue_key = std::pair<std::uint32_t, std::uint64_t>;
+    using deadline_key = std::pair<time_point, call_id>;
     struct waiting_call {
         admission_request request;
         time_point since;
+        /// Latest time at which a hand-off makes sense.
+        time_point latest_start;
     };
-    using queue_key = std::pair<std::uint32_t, std::uint64_t>;
+    using queue = std::map<queue_key, waiting_call>;
 
     std::uint32_t queue_limit() const;
+    std::uint32_t limit() const;
     bool kind_is_full(const admission_request& request) const;
-    duration expected_service_time(const std::string& kind) const;
+    bool is_too_late(time_point now, const admission_request& request) const;
+    queue::iterator take(queue::iterator at, refusal reason, std::vector<admission_change>& out);
+    void refuse_all(refusal reason, std::vector<admission_change>& out);
+    void refuse_late(time_point now, std::vector<admission_change>& out);
+    void hand_on(time_point now, std::vector<admission_change>& out);
+    void shorten(std::vector<admission_change>& out);
 
     admission_settings settings_;
-    std::map<queue_key, waiting_call> queue_;
+    concurrency_limit limit_;
+    service_times service_times_;
+    queue queue_;
+    std::set<deadline_key> deadlines_;
     std::unordered_map<call_id, queue_key> keys_;
     std::unordered_map<call_id, std::string> in_flight_;
     std::unordered_map<std::string, std::uint32_t> in_flight_by_kind_;
-    std::unordered_map<std::string, duration> service_times_;
     std::uint64_t next_sequence_ = 0;
     bool target_is_up_ = true;
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -1,16 +1,15 @@
 #include <trefoil/admission/admission.hpp>
 
 #include <algorithm>
+#include <limits>
 
 #include <trefoil/admission/admission_position.hpp>
 
 namespace trefoil {
-namespace {
 
-/// Weight of the newest service time in the running mean is 1 / this.
-constexpr int service_time_smoothing = 8;
-
-} // namespace
+admission::admission(admission_settings settings)
+    : settings_(settings), limit_(std::min(settings.slots, settings.connections),
+                                  settings.policy.adaptive_limit, settings.policy.slow_start) {}
 
 refusal admission::offer(time_point now, const admission_request& request) {
     if (!target_is_up_) {
@@ -19,56 +18,93 @@
     if (request.kind_limit == 0) {
         return refusal::kind_limit;
     }
-    if (now + expected_service_time(request.kind) > request.deadline) {
+    if (is_too_late(now, request)) {
         return refusal::deadline;
     }
-    const queue_key key{request.position, next_sequence_++};
-    queue_.emplace(key, waiting_call{request, now});
+    const auto position = settings_.policy.priority_order ? request.position : 0;
+    const queue_key key{position, next_sequence_++};
+    const auto expected = settings_.policy.deadline_refusal
+                              ? service_times_.expected(now, request.kind)
+                              : duration{0};
+    const auto latest_start = request.deadline - expected;
+    queue_.emplace(key, waiting_call{request, now, latest_start});
     keys_.emplace(request.call, key);
+    deadlines_.emplace(latest_start, request.call);
     return refusal::none;
 }
 
 std::vector<admission_change> admission::advance(time_point now) {
     std::vector<admission_change> changes;
+    if (!target_is_up_) {
+        refuse_all(refusal::target_down, changes);
+        return changes;
+    }
+    refuse_late(now, changes);
+    hand_on(now, changes);
+    shorten(changes);
+    return changes;
+}
+
+admission::queue::iterator admission::take(queue::iterator at, refusal reason,
+                                           std::vector<admission_change>& out) {
+    const auto& waiting = at->second;
+    const auto call = waiting.request.call;
+    out.push_back({call, reason});
+    if (reason == refusal::none) {
+        in_flight_.emplace(call, waiting.request.kind);
+        ++in_flight_by_kind_[waiting.request.kind];
+    }
+    deadlines_.erase({waiting.latest_start, call});
+    keys_.erase(call);
+    return queue_.erase(at);
+}
+
+void admission::refuse_all(refusal reason, std::vector<admission_change>& out) {
     for (auto at = queue_.begin(); at != queue_.end();) {
+        at = take(at, reason, out);
+    }
+}
+
+void admission::refuse_late(time_point now, std::vector<admission_change>& out) {
+    while (!deadlines_.empty() && deadlines_.begin()->first < now) {
+        const auto call = deadlines_.begin()->second;
+        take(queue_.find(keys_.at(call)), refusal::deadline, out);
+    }
+}
+
+void admission::hand_on(time_point now, std::vector<admission_change>& out) {
+    for (auto at = queue_.begin(); at != queue_.end() && in_flight_.size() < limit();) {
         const auto& request = at->second.request;
-        const bool too_late = now + expected_service_time(request.kind) > request.deadline;
-        if (!target_is_up_) {
-            changes.push_back({request.call, refusal::target_down});
-        } else if (too_late) {
-            changes.push_back({request.call, refusal::deadline});
-        } else if (in_flight_.size() < settings_.slots && !kind_is_full(request)) {
-            changes.push_back({request.call, refusal::none});
-            in_flight_.emplace(request.call, request.kind);
-            ++in_flight_by_kind_[request.kind];
-        } else {
+        if (is_too_late(now, request)) {
+            at = take(at, refusal::deadline, out);
+        } else if (kind_is_full(request)) {
             ++at;
-            continue;
+        } else {
+            at = take(at, refusal::none, out);
         }
-        keys_.erase(request.call);
-        at = queue_.erase(at);
     }
+}
+
+void admission::shorten(std::vector<admission_change>& out) {
     while (queue_.size() > queue_limit()) {
-        const auto last = std::prev(queue_.end());
-        changes.push_back({last->second.request.call, refusal::overload});
-        keys_.erase(last->second.request.call);
-        queue_.erase(last);
+        take(std::prev(queue_.end()), refusal::overload, out);
     }
-    return changes;
 }
 
-void admission::finished(time_point, call_id call, const service_result& result) {
+void admission::finished(time_point now, call_id call, const service_result& result) {
     const auto found = in_flight_.find(call);
     if (found == in_flight_.end()) {
         return;
     }
     const auto kind = found->second;
-    in_flight_.erase(found);
-    --in_flight_by_kind_[kind];
     if (result.succeeded) {
-        auto& mean = service_times_.try_emplace(kind, result.service_time).first->second;
-        mean += (result.service_time - mean) / service_time_smoothing;
+        limit_.succeeded(static_cast<std::uint32_t>(in_flight_.size()));
+        service_times_.record(now, kind, result.service_time);
+    } else {
+        limit_.overloaded(now);
     }
+    in_flight_.erase(found);
+    --in_flight_by_kind_[kind];
 }
 
 bool admission::withdraw(call_id call) {
@@ -76,12 +112,17 @@
     if (found == keys_.end()) {
         return false;
     }
-    queue_.erase(found->second);
+    const auto at = queue_.find(found->second);
+    deadlines_.erase({at->second.latest_start, call});
+    queue_.erase(at);
     keys_.erase(found);
     return true;
 }
 
 void admission::target_changed(time_point, bool is_up) {
+    if (is_up && !target_is_up_) {
+        limit_.restarted();
+    }
     target_is_up_ = is_up;
 }
 
@@ -91,16 +132,18 @@
 
 load_report admission::load() const {
     return {static_cast<std::uint32_t>(in_flight_.size()),
-            static_cast<std::uint32_t>(queue_.size()), settings_.slots};
+            static_cast<std::uint32_t>(queue_.size()), limit()};
 }
 
 std::optional<time_point> admission::next_deadline() const {
-    std::optional<time_point> earliest;
-    for (const auto& [key, waiting] : queue_) {
-        earliest =
-            earliest ? std::min(*earliest, waiting.request.deadline) : waiting.request.deadline;
+    if (deadlines_.empty()) {
+        return std::nullopt;
     }
-    return earliest;
+    return deadlines_.begin()->first + duration{1};
+}
+
+std::uint32_t admission::limit() const {
+    return settings_.policy.limit ? limit_.current() : std::numeric_limits<std::uint32_t>::max();
 }
 
 std::uint32_t admission::queue_limit() const {
@@ -112,9 +155,9 @@
     return found != in_flight_by_kind_.end() && found->second >= request.kind_limit;
 }
 
-duration admission::expected_service_time(const std::string& kind) const {
-    const auto found = service_times_.find(kind);
-    return found == service_times_.end() ? duration{0} : found->second;
+bool admission::is_too_late(time_point now, const admission_request& request) const {
+    return settings_.policy.deadline_refusal &&
+           now + service_times_.expected(now, request.kind) > request.deadline;
 }
 
 } // namespace trefoil
--- /dev/null
+++ b/libs/admission/src/service_times.cpp
@@ -0,0 +1,31 @@
+#include <trefoil/admission/service_times.hpp>
+
+#include <cmath>
+
+namespace trefoil {
+namespace {
+
+/// Weight of the newest time in the running mean is 1 / this.
+constexpr int smoothing = 8;
+/// A mean without news counts half after this time.
+constexpr duration half_life = 1s;
+
+} // namespace
+
+void service_times::record(time_point now, const std::string& kind, duration took) {
+    auto& entry = means_.try_emplace(kind, kind_mean{took, now}).first->second;
+    entry.mean += (took - entry.mean) / smoothing;
+    entry.at = now;
+}
+
+duration service_times::expected(time_point now, const std::string& kind) const {
+    const auto found = means_.find(kind);
+    if (found == means_.end()) {
+        return duration{0};
+    }
+    const auto age = to_seconds(now - found->second.at) / to_seconds(half_life);
+    const auto mean = static_cast<double>(found->second.mean.count());
+    return duration(static_cast<duration::rep>(mean * std::exp2(-age)));
+}
+
+} // namespace trefoil
--- a/libs/emulator/include/trefoil/emulator/fake_target.hpp
+++ b/libs/emulator/include/trefoil/emulator/fake_target.hpp
@@ -66,11 +66,14 @@
     using work_of = std::function<service_work(const service_name&, const std::string& path)>;
     /// Told of every start of work on a request.
     using run_observer = std::function<void(const http_request&, const call_context&)>;
+    /// Told of every end of work on a request, with the time for which it held a slot.
+    using work_observer = std::function<void(const http_request&, duration)>;
 
     fake_target(scheduler& clock, service_name service, target_settings settings,
                 std::uint64_t seed);
 
     void set_hooks(call_out out, attempt_done done, work_of work, run_observer observer);
+    void observe_work(work_observer observer) { work_observer_ = std::move(observer); }
     void set_slowness(double factor) { settings_.slowness = factor; }
     void set_app_retries(std::uint32_t retries) { settings_.app_retries = retries; }
 
@@ -107,6 +110,7 @@
     void make_child(const job_ptr& work, std::size_t index, std::uint32_t tries_left);
     void child_done(const job_ptr& work, int status, const std::string& body);
     void finish(const job_ptr& work);
+    void account(const job& work);
     duration compute_time(const service_work& work);
 
     scheduler& clock_;
@@ -117,6 +121,7 @@
     attempt_done done_;
     work_of work_of_;
     run_observer observer_;
+    work_observer work_observer_;
     std::unordered_map<attempt_id, job_ptr> running_;
     std::deque<job_ptr> backlog_;
     std::uint64_t process_ = 0;
--- a/libs/emulator/src/fake_target.cpp
+++ b/libs/emulator/src/fake_target.cpp
@@ -120,8 +120,16 @@
     }
 }
 
+void fake_target::account(const job& work) {
+    const auto held = clock_.now() - work.started;
+    busy_time_ += held;
+    if (work_observer_) {
+        work_observer_(*work.request, held);
+    }
+}
+
 void fake_target::finish(const job_ptr& work) {
-    busy_time_ += clock_.now() - work->started;
+    account(*work);
     running_.erase(work->attempt);
     if (!work->is_cancelled) {
         done_(work->attempt,
@@ -153,7 +161,7 @@
     auto waiting = std::move(backlog_);
     backlog_.clear();
     for (const auto& [attempt, work] : lost) {
-        busy_time_ += clock_.now() - work->started;
+        account(*work);
         done_(attempt, nullptr);
     }
     for (const auto& work : waiting) {
--- /dev/null
+++ b/libs/experiment/src/run_experiment.cpp
@@ -0,0 +1,378 @@
+#include <trefoil/experiment/experiment.hpp>
+
+#include <unordered_map>
+
+#include <fmt/format.h>
+#include <trefoil/base/overloaded.hpp>
+
+#include "load_source.hpp"
+#include "oracle.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Time for tables and lists to reach every node before callers start.
+constexpr duration settling_time = 3s;
+/// Shares of the run before the trigger and until its end.
+constexpr double trigger_begins = 0.25;
+constexpr double trigger_ends = 0.60;
+/// Retries that each layer makes under policy none.
+constexpr std::uint32_t retries_of_none = 3;
+/// Requests sent within this time are judged together for recovery.
+constexpr duration recovery_window = 500ms;
+constexpr duration recovery_step = 100ms;
+/// For this long after recovery every window must be normal.
+constexpr duration recovery_proof = 1500ms;
+/// Share of requests that complete when the service is normal.
+constexpr double normal_share = 0.95;
+/// Shortage that lasts less than this may still shed out of order.
+constexpr duration order_grace = 1s;
+/// A target computes slowly for this long after a start.
+constexpr duration cold_time = 1s;
+
+duration part(duration whole, double share) {
+    return duration(static_cast<duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
+/// One run of a fleet, with all that observers note.
+class experiment_run {
+public:
+    explicit experiment_run(const experiment_plan& plan)
+        : plan_(plan), site_(*find_site(plan.site)),
+          fleet_(
+              site_.network,
+              [this](const service_name& service, const std::string& path) {
+                  return work_at(site_, service, path);
+              },
+              plan.seed) {}
+
+    experiment_result run() {
+        build_fleet();
+        load_source load(fleet_, site_, {plan_.clients_retry, plan_.crash_every, plan_.seed + 1});
+        clock().run_until(clock().now() + settling_time);
+        watch();
+        const auto begin = clock().now();
+        begin_ = begin + part(plan_.length, trigger_begins);
+        end_ = begin + part(plan_.length, trigger_ends);
+        load.set_rate(site_.normal_rate);
+        clock().run_until(begin_);
+        set_trigger(true);
+        load.set_rate(site_.normal_rate * plan_.surge);
+        run_trigger();
+        set_trigger(false);
+        load.set_rate(site_.normal_rate);
+        clock().run_until(begin + plan_.length);
+        load.stop();
+        clock().run_until(clock().now() + longest_deadline() * (plan_.clients_retry + 1) + 1s);
+        return judge(load.requests());
+    }
+
+private:
+    using call_counts = std::map<std::string, std::uint64_t>;
+    /// Runs of one whole request at targets.
+    struct request_runs {
+        std::string kind;
+        call_counts calls;
+    };
+    struct kind_counts {
+        std::uint64_t refused = 0;
+        std::uint64_t handed_on = 0;
+    };
+
+    scheduler& clock() { return fleet_.clock(); }
+
+    void build_fleet() {
+        std::uint16_t port = 1;
+        for (const auto& service : site_.services) {
+            for (const auto& domain : site_.domains) {
+                fleet_.add(make_member(service, domain, port++));
+            }
+        }
+        fleet_.publish(document_id::table, table_text(site_));
+        fleet_.publish_members();
+    }
+
+    fleet_member make_member(const site_service& service, const std::string& domain,
+                             std::uint16_t port) const {
+        fleet_member member;
+        member.core.self = instance_id(fmt::format("{}-{}", service.name.str(), domain));
+        member.core.service = service.name;
+        member.core.domain = domain_name(domain);
+        member.core.region = region_name(site_.name);
+        member.core.peer_address = {"127.0.0.1", port};
+        member.core.admission.slots = service.slots;
+        member.core.admission.connections = service.connections;
+        member.core.admission.policy = policy();
+        member.core.admission.recovery_speed = plan_.recovery_speed;
+        member.target.slots = service.slots;
+        member.target.backlog = service.connections - service.slots;
+        member.target.cold_time = cold_time;
+        member.target.app_retries =
+            plan_.policy == experiment_policy::none ? retries_of_none : plan_.app_retry;
+        return member;
+    }
+
+    admission_policy policy() const {
+        switch (plan_.policy) {
+        case experiment_policy::none:
+            return no_admission;
+        case experiment_policy::fixed:
+            return fixed_admission;
+        case experiment_policy::full:
+            return plan_.parts;
+        }
+        return plan_.parts;
+    }
+
+    void watch() {
+        fleet_.observe_runs([this](const instance_id& instance, const http_request& request,
+                                   const call_context& context) {
+            auto& runs = runs_[context.request];
+            runs.kind = context.kind;
+            ++runs.calls[fmt::format("{} {}", service_of(instance), request.path)];
+        });
+        fleet_.observe_actions([this](const instance_id& instance, const action& what) {
+            const auto* attempt = std::get_if<start_attempt>(&what);
+            if (attempt != nullptr && std::holds_alternative<target_destination>(attempt->to)) {
+                ++handed_on_[instance][attempt->context->kind];
+            }
+        });
+        for (const auto& instance : fleet_.instances()) {
+            fleet_.target(instance).observe_work(
+                [this](const http_request& request, duration held) {
+                    held_[request.body] += held;
+                });
+        }
+    }
+
+    static std::string service_of(const instance_id& instance) {
+        return instance.str().substr(0, instance.str().find('-'));
+    }
+
+    void set_trigger(bool is_on) {
+        for (const auto& instance : fleet_.instances()) {
+            const auto factor = plan_.slow.find(service_of(instance));
+            if (factor != plan_.slow.end()) {
+                fleet_.target(instance).set_slowness(is_on ? factor->second : 1.0);
+            }
+        }
+        for (const auto& domain : site_.domains) {
+            if (!plan_.cut.empty() && domain != plan_.cut) {
+                is_on ? fleet_.cut(plan_.cut, domain) : fleet_.heal(plan_.cut, domain);
+            }
+        }
+        if (!plan_.cut.empty()) {
+            is_on ? fleet_.cut(plan_.cut, virtual_fleet::platform_domain)
+                  : fleet_.heal(plan_.cut, virtual_fleet::platform_domain);
+        }
+        if (plan_.platform_down) {
+            fleet_.set_platform(is_on ? platform_mode::down : platform_mode::serving);
+        }
+    }
+
+    void run_trigger() {
+        clock().run_until(begin_ + order_grace);
+        count_inversions();
+        inversions_ = 0;
+        while (clock().now() + 1s <= end_) {
+            clock().run_until(clock().now() + 1s);
+            count_inversions();
+        }
+        clock().run_until(end_);
+    }
+
+    void count_inversions() {
+        for (const auto& instance : fleet_.instances()) {
+            if (!fleet_.is_running(instance)) {
+                continue;
+            }
+            const auto& legs = fleet_.core(instance).metrics().legs;
+            bool refused_protected = false;
+            bool ran_least = false;
+            for (const auto& kind : site_.kinds) {
+                auto& before = before_[instance][kind.row.kind];
+                const auto found = legs.find(kind.row.kind);
+                const kind_counts now{found == legs.end() ? 0 : refused_for_load(found->second),
+                                      handed_on_[instance][kind.row.kind]};
+                refused_protected |= kind.is_protected && now.refused > before.refused;
+                ran_least |= kind.is_least && now.handed_on > before.handed_on;
+                before = now;
+            }
+            inversions_ += refused_protected && ran_least ? 1 : 0;
+        }
+    }
+
+    static std::uint64_t refused_for_load(const kind_metrics& metrics) {
+        const auto count = [&](refusal reason) {
+            return metrics.refused[static_cast<std::size_t>(reason)];
+        };
+        return count(refusal::overload) + count(refusal::level) + count(refusal::chain_level);
+    }
+
+    duration longest_deadline() const {
+        duration longest{0};
+        for (const auto& kind : site_.kinds) {
+            longest = std::max(longest, kind.row.deadline);
+        }
+        return longest;
+    }
+
+    bool is_in_trigger(time_point at) const { return at >= begin_ && at < end_; }
+
+    experiment_result judge(const std::deque<caller_request>& requests) {
+        experiment_result result;
+        result.policy = plan_.policy;
+        result.seed = plan_.seed;
+        for (const auto& kind : site_.kinds) {
+            result.kinds.push_back({kind.row.kind, 0, 0, 0, 0, 0});
+        }
+        std::uint64_t completed = 0;
+        std::uint64_t completed_in_trigger = 0;
+        double weight = 0;
+        std::vector<std::uint64_t> offered(site_.kinds.size());
+        for (const auto& request : requests) {
+            const bool is_done = request.end == request_end::completed;
+            count_end(result.kinds[request.kind], request.end);
+            completed += is_done ? 1 : 0;
+            if (is_done && is_in_trigger(request.ended)) {
+                ++completed_in_trigger;
+                weight += site_.kinds[request.kind].row.weight;
+            }
+            const bool can_complete = !request.path.ends_with("/crash");
+            offered[request.kind] += can_complete && is_in_trigger(request.sent) ? 1 : 0;
+        }
+        const double trigger_time = to_seconds(end_ - begin_);
+        result.goodput = static_cast<double>(completed) / to_seconds(plan_.length);
+        result.trigger_goodput = static_cast<double>(completed_in_trigger) / trigger_time;
+        result.weighted_goodput = weight / trigger_time;
+        result.oracle = best_weight(site_, plan_.slow, offered, end_ - begin_) / trigger_time;
+        result.recovery = recovery_of(requests);
+        result.wasted_work = wasted_work(requests);
+        count_retries(result, requests.size());
+        result.inversions = inversions_;
+        return result;
+    }
+
+    static void count_end(kind_result& kind, request_end end) {
+        ++kind.offered;
+        switch (end) {
+        case request_end::completed:
+            ++kind.completed;
+            break;
+        case request_end::refused:
+            ++kind.refused;
+            break;
+        case request_end::failed:
+            ++kind.failed;
+            break;
+        case request_end::open:
+        case request_end::unknown:
+            ++kind.unknown;
+            break;
+        }
+    }
+
+    std::optional<duration> recovery_of(const std::deque<caller_request>& requests) const {
+        const auto last = requests.back().sent - recovery_window;
+        std::optional<time_point> since;
+        for (auto at = end_; at <= last; at += recovery_step) {
+            if (!is_normal(requests, at)) {
+                since.reset();
+            } else if (!since) {
+                since = at;
+            }
+            if (since && at - *since >= recovery_proof) {
+                break;
+            }
+        }
+        if (!since || last - *since < recovery_proof) {
+            return std::nullopt;
+        }
+        return *since - end_;
+    }
+
+    static bool is_normal(const std::deque<caller_request>& requests, time_point from) {
+        const auto first =
+            std::lower_bound(requests.begin(), requests.end(), from,
+                             [](const caller_request& r, time_point at) { return r.sent < at; });
+        std::uint64_t sent = 0;
+        std::uint64_t completed = 0;
+        for (auto at = first; at != requests.end() && at->sent < from + recovery_window; ++at) {
+            ++sent;
+            completed += at->end == request_end::completed ? 1 : 0;
+        }
+        return static_cast<double>(completed) >= normal_share * static_cast<double>(sent);
+    }
+
+    double wasted_work(const std::deque<caller_request>& requests) const {
+        duration all{0};
+        duration useful{0};
+        for (const auto& request : requests) {
+            const auto found = held_.find(request.body);
+            const auto held = found == held_.end() ? 0us : found->second;
+            all += held;
+            useful += request.end == request_end::completed ? held : 0us;
+        }
+        return all > 0us ? 1.0 - to_seconds(useful) / to_seconds(all) : 0;
+    }
+
+    void count_retries(experiment_result& result, std::size_t requests) const {
+        std::map<std::string, call_counts> wanted;
+        for (const auto& kind : site_.kinds) {
+            add_calls(site_, service_name(kind.row.service), kind.path, wanted[kind.row.kind]);
+        }
+        std::uint64_t total = 0;
+        for (const auto& [request, runs] : runs_) {
+            std::uint64_t retries = 0;
+            for (const auto& [call, count] : runs.calls) {
+                const auto found = wanted[runs.kind].find(call);
+                const auto expected = found == wanted[runs.kind].end() ? 1 : found->second;
+                retries += count > expected ? count - expected : 0;
+            }
+            total += retries;
+            result.max_retries = std::max(result.max_retries, retries);
+        }
+        result.mean_retries =
+            requests > 0 ? static_cast<double>(total) / static_cast<double>(requests) : 0;
+    }
+
+    const experiment_plan& plan_;
+    site site_;
+    virtual_fleet fleet_;
+    time_point begin_;
+    time_point end_;
+    std::uint64_t inversions_ = 0;
+    std::unordered_map<request_id, request_runs> runs_;
+    std::unordered_map<std::string, duration> held_;
+    std::map<instance_id, std::map<std::string, std::uint64_t>> handed_on_;
+    std::map<instance_id, std::map<std::string, kind_counts>> before_;
+};
+
+} // namespace
+
+std::string_view name_of(experiment_policy policy) {
+    switch (policy) {
+    case experiment_policy::none:
+        return "none";
+    case experiment_policy::fixed:
+        return "static";
+    case experiment_policy::full:
+        return "full";
+    }
+    return "full";
+}
+
+std::optional<site> find_site(const std::string& name) {
+    for (auto made : {kigali_site(), keurwoning_site()}) {
+        if (made.name == name) {
+            return made;
+        }
+    }
+    return std::nullopt;
+}
+
+experiment_result run_experiment(const experiment_plan& plan) {
+    return experiment_run(plan).run();
+}
+
+} // namespace trefoil
