--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -39,7 +39,7 @@
 class load_runner {
 public:
     load_runner(const load_plan& plan, const phase_observer& on_phase)
-        : plan_(plan), on_phase_(on_phase), {
+        : plan_(plan), on_phase_(on_phase) {
         uv_loop_init(&loop_);
         uv_timer_init(&loop_, &ticker_);
         client_ = std::make_unique<http_client>(&loop_);
--- a/tools/trefoil-load/commands.hpp
+++ b/tools/trefoil-load/commands.hpp
@@ -6,6 +6,9 @@
 /// Sends the requests of a plan to running nodes.
 int run_command(int argc, char** argv);
 
+/// Runs experiments under a paused clock.
+int experiment_command(int argc, char** argv);
+
 /// Compares a target's latency with and without two nodes in between.
 int compare_command(int argc, char** argv);
 
--- a/tools/trefoil-load/main.cpp
+++ b/tools/trefoil-load/main.cpp
@@ -20,6 +20,8 @@
 const std::map<std::string_view, command>& commands() {
     static const std::map<std::string_view, command> all = {
         {"run", {run_command, "sends the requests of a plan to running nodes"}},
+        {"experiment",
+         {experiment_command, "compares policies under overload and faults on a paused clock"}},
         {"compare", {compare_command, "measures the latency that two nodes add"}},
     };
     return all;
