Eject failing instances and bound spill between failure domains

Cause: the choice ignored how attempts ended. A dead instance was picked for ever by the nodes of its domain, and each retry could leave the domain.

The router now keeps health by instance: three lost connections in a row, three timeouts or ten error answers while others of the service answer well, or ten timeouts in any case eject it for 1 s, doubling to 30 s; one trial call at a time ends the ejection. Refusals count as life, so that overload alone ejects nothing. At most half of a service is ejected. Calls leave the home tier only after its instances were tried and up to a fifth of the calls it takes. State of instances idle for 60 s is dropped.

Ruled out: counting timeouts like lost connections, as a slow service further down times out every instance above it.

--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -225,7 +225,20 @@
         documents_.members_changed(state_.now, state_.members);
     }
 
+    void log_ejections() {
+        for (const auto& change : state_.route.take_changes()) {
+            if (change.is_ejected) {
+                state_.log(log_event::instance_ejected,
+                           {{"instance", change.instance.str()},
+                            {"ms", fmt::format("{:.0f}", to_ms(change.time))}});
+            } else {
+                state_.log(log_event::instance_returned, {{"instance", change.instance.str()}});
+            }
+        }
+    }
+
     actions finish_step() {
+        log_ejections();
         std::optional<time_point> wake;
         const auto consider = [&](std::optional<time_point> at) {
             if (at && (!wake || *at < *wake)) {
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -10,9 +10,14 @@
 /// Upper end of the random wait before a retry.
 constexpr duration retry_backoff = 20ms;
 
-attempt_result result_of(const answer_info& info) {
+attempt_result result_of(const call_end& end) {
+    constexpr int first_server_error = 500;
+    constexpr int shed_status = 503;
+    const auto& info = end.info;
     if (info.result == outcome::completed) {
-        return attempt_result::answered;
+        const int status = end.answer ? end.answer->status : 0;
+        const bool is_error = status >= first_server_error && status != shed_status;
+        return is_error ? attempt_result::answered_error : attempt_result::answered;
     }
     switch (info.reason) {
     case refusal::overload:
@@ -150,7 +155,7 @@
 void outbound_calls::attempt_answered(attempt_id attempt, const call_end& end) {
     const auto found = by_attempt_.find(attempt);
     if (found != by_attempt_.end()) {
-        attempt_ended(found->second, end, result_of(end.info));
+        attempt_ended(found->second, end, result_of(end));
     }
 }
 
@@ -171,7 +176,9 @@
     } else if (failure == attempt_failure::answer_too_large) {
         info.reason = refusal::too_large;
     }
-    attempt_ended(found->second, {nullptr, info}, attempt_result::failed);
+    const bool timed_out = failure == attempt_failure::timed_out;
+    attempt_ended(found->second, {nullptr, info},
+                  timed_out ? attempt_result::timed_out : attempt_result::failed);
 }
 
 void outbound_calls::attempt_ended(call_id call, const call_end& end, attempt_result result) {
@@ -233,7 +240,7 @@
     auto& entry = found->second;
     if (entry.attempt.value != 0) {
         by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::refused_request, {});
+        state_.route.finished(state_.now, entry.instance, attempt_result::withdrawn, {});
         if (entry.instance == state_.settings.self) {
             cancel_local_(entry.attempt);
         } else {
@@ -268,7 +275,7 @@
     if (entry.attempt.value != 0) {
         info.result = outcome::unknown;
         by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::failed, {});
+        state_.route.finished(state_.now, entry.instance, attempt_result::timed_out, {});
         if (entry.instance == state_.settings.self) {
             cancel_local_(entry.attempt);
         } else {
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr duration load_half_life = 500ms;
+/// State of instances and services that were not called for so long is dropped.
+constexpr duration idle_time = 60s;
+constexpr duration sweep_interval = 10s;
+constexpr int tier_count = 3;
 
 int distance(const location& here, const member& there) {
     if (there.domain == here.domain) {
@@ -17,61 +21,191 @@
 
 } // namespace
 
+bool router::candidate::is_usable() const {
+    if (is_excluded || state == ejection_state::ejected) {
+        return false;
+    }
+    const bool trial_runs = peer != nullptr && peer->in_flight > 0;
+    return state == ejection_state::in_use || !trial_runs;
+}
+
 std::optional<member> router::pick(time_point now, const membership& members,
                                    const service_name& service,
                                    const std::vector<instance_id>& excluded,
                                    random_source& random) {
-    std::vector<const member*> nearest;
-    int nearest_distance = 3;
-    for (const auto& candidate : members.of_service(service)) {
-        const bool is_excluded =
-            std::find(excluded.begin(), excluded.end(), candidate.instance) != excluded.end();
-        if (is_excluded || members.is_leaving(candidate.instance)) {
+    forget_unused(now);
+    collect(now, members, service, excluded);
+    limit_ejections();
+    auto& row = service_of(now, service);
+    int home = tier_count;
+    for (const auto& entry : candidates_) {
+        if (entry.state == ejection_state::in_use) {
+            home = std::min(home, entry.tier);
+        }
+    }
+    for (int tier = 0; tier < tier_count; ++tier) {
+        const auto* chosen = choose(now, tier, random);
+        if (chosen == nullptr) {
             continue;
         }
-        const int candidate_distance = distance(here_, candidate);
-        if (candidate_distance < nearest_distance) {
-            nearest.clear();
-            nearest_distance = candidate_distance;
+        if (tier > home) {
+            if (row.spill_allowance < 1) {
+                return std::nullopt;
+            }
+            row.spill_allowance -= 1;
+        } else {
+            row.spill_allowance =
+                std::min(row.spill_allowance + settings_.spill_share, settings_.spill_burst);
+        }
+        auto& peer = peers_[chosen->entry->instance];
+        peer.service = service;
+        peer.last_used = now;
+        return *chosen->entry;
+    }
+    return std::nullopt;
+}
+
+void router::collect(time_point now, const membership& members, const service_name& service,
+                     const std::vector<instance_id>& excluded) {
+    candidates_.clear();
+    for (const auto& entry : members.of_service(service)) {
+        if (members.is_leaving(entry.instance)) {
+            continue;
         }
-        if (candidate_distance == nearest_distance) {
-            nearest.push_back(&candidate);
+        candidate added{&entry, nullptr, distance(here_, entry), false, ejection_state::in_use};
+        added.is_excluded =
+            std::find(excluded.begin(), excluded.end(), entry.instance) != excluded.end();
+        const auto found = peers_.find(entry.instance);
+        if (found != peers_.end()) {
+            added.peer = &found->second;
+            added.state =
+                settings_.ejects ? found->second.health.state(now) : ejection_state::in_use;
         }
+        candidates_.push_back(added);
     }
-    if (nearest.empty()) {
-        return std::nullopt;
+}
+
+// Puts the instances whose ejection is oldest back to use while more than half is ejected.
+void router::limit_ejections() {
+    const auto is_out = [](const candidate& entry) {
+        return entry.state != ejection_state::in_use;
+    };
+    auto out = std::count_if(candidates_.begin(), candidates_.end(), is_out);
+    const auto limit = static_cast<std::ptrdiff_t>(candidates_.size() / 2);
+    for (; out > limit; --out) {
+        candidate* oldest = nullptr;
+        for (auto& entry : candidates_) {
+            if (is_out(entry) && (oldest == nullptr || entry.peer->health.ejected_at() <
+                                                           oldest->peer->health.ejected_at())) {
+                oldest = &entry;
+            }
+        }
+        oldest->state = ejection_state::in_use;
     }
-    const auto* first = nearest[random.below(nearest.size())];
-    const auto* second = nearest[random.below(nearest.size())];
-    return cost_of(now, first->instance) <= cost_of(now, second->instance) ? *first : *second;
 }
 
-double router::cost_of(time_point now, const instance_id& instance) const {
-    const auto found = peers_.find(instance);
-    if (found == peers_.end()) {
-        return 0;
+const router::candidate* router::choose(time_point now, int tier, random_source& random) const {
+    const auto fits = [tier](const candidate& entry) {
+        return entry.tier == tier && entry.is_usable();
+    };
+    const auto count =
+        static_cast<std::uint64_t>(std::count_if(candidates_.begin(), candidates_.end(), fits));
+    if (count == 0) {
+        return nullptr;
     }
-    double cost = found->second.in_flight;
-    if (found->second.load) {
-        const double age = to_seconds(now - found->second.load_at) / to_seconds(load_half_life);
-        const auto& load = *found->second.load;
-        cost += std::exp2(-age) * (load.in_flight + load.queued);
+    const auto nth = [&](std::uint64_t index) {
+        auto at = std::find_if(candidates_.begin(), candidates_.end(), fits);
+        for (; index > 0; --index) {
+            at = std::find_if(at + 1, candidates_.end(), fits);
+        }
+        return &*at;
+    };
+    const auto first_index = random.below(count);
+    const auto* first = nth(first_index);
+    if (count == 1) {
+        return first;
     }
-    return cost;
+    // The second choice is another instance than the first.
+    const auto* second = nth((first_index + 1 + random.below(count - 1)) % count);
+    return prefers(now, *second, *first) ? second : first;
+}
+
+// True if the first has less to do. Instances that reported their limit are compared by load per
+// unit of it, since a slow one has a lower limit.
+bool router::prefers(time_point now, const candidate& first, const candidate& second) const {
+    const auto load_of = [now](const candidate& entry) {
+        if (entry.peer == nullptr) {
+            return 0.0;
+        }
+        double load = entry.peer->in_flight;
+        if (entry.peer->load) {
+            const double age = to_seconds(now - entry.peer->load_at) / to_seconds(load_half_life);
+            load += std::exp2(-age) * (entry.peer->load->in_flight + entry.peer->load->queued);
+        }
+        return load;
+    };
+    const auto limit_of = [](const candidate& entry) {
+        const bool is_known = entry.peer != nullptr && entry.peer->load;
+        return is_known ? std::max(entry.peer->load->limit, 1U) : 0U;
+    };
+    double one = load_of(first);
+    double other = load_of(second);
+    if (limit_of(first) > 0 && limit_of(second) > 0) {
+        one /= limit_of(first);
+        other /= limit_of(second);
+    }
+    return one < other;
+}
+
+router::service_state& router::service_of(time_point now, const service_name& service) {
+    const auto [found, is_new] = services_.try_emplace(service);
+    if (is_new) {
+        found->second.spill_allowance = settings_.spill_burst;
+    }
+    found->second.last_used = now;
+    return found->second;
+}
+
+void router::forget_unused(time_point now) {
+    if (now < next_sweep_) {
+        return;
+    }
+    next_sweep_ = now + sweep_interval;
+    std::erase_if(peers_, [now](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.in_flight == 0 && now - peer.last_used > idle_time;
+    });
+    std::erase_if(services_,
+                  [now](const auto& entry) { return now - entry.second.last_used > idle_time; });
 }
 
 void router::started(const instance_id& instance) {
     ++peers_[instance].in_flight;
 }
 
-void router::finished(time_point now, const instance_id& instance, attempt_result,
+void router::finished(time_point now, const instance_id& instance, attempt_result result,
                       const std::optional<load_report>& load) {
-    auto& peer = peers_[instance];
+    const auto found = peers_.find(instance);
+    if (found == peers_.end()) {
+        return;
+    }
+    auto& peer = found->second;
     peer.in_flight -= peer.in_flight > 0 ? 1 : 0;
+    peer.last_used = now;
     if (load) {
         peer.load = load;
         peer.load_at = now;
     }
+    auto& row = service_of(now, peer.service);
+    if (result == attempt_result::answered) {
+        row.good_at = now;
+    }
+    const auto change = peer.health.note(now, result, row.good_at);
+    if (change != ejection_event::none && settings_.ejects) {
+        const bool is_ejected = change == ejection_event::ejected;
+        const auto time = is_ejected ? peer.health.ejected_until() - now : duration{0};
+        changes_.push_back({instance, is_ejected, time});
+    }
 }
 
 std::uint32_t router::in_flight(const instance_id& instance) const {
@@ -79,4 +213,8 @@
     return found == peers_.end() ? 0 : found->second.in_flight;
 }
 
+std::vector<ejection_change> router::take_changes() {
+    return std::exchange(changes_, {});
+}
+
 } // namespace trefoil
