--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -7,6 +7,7 @@
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
 #include <trefoil/retry/retry_ledger.hpp>
+#include <trefoil/routing/load_reporter.hpp>
 #include <trefoil/routing/router.hpp>
 
 namespace trefoil {
@@ -15,7 +16,7 @@
 struct core_state {
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
-          route({settings.domain, settings.region}), random(settings.seed) {}
+          route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
 
     core_settings settings;
     time_point now;
@@ -25,6 +26,7 @@
     membership members;
     admission admitter;
     router route;
+    load_reporter load_reports;
     retry_ledger ledger;
     call_metrics metrics;
     random_source random;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -88,6 +88,7 @@
     info.result = outcome::completed;
     info.unused_tokens = state_.ledger.close(call);
     info.incarnation = state_.settings.incarnation;
+    info.load = state_.load_reports.take(state_.now, state_.admitter.load());
     constexpr int shed_status = 503;
     finish_at_target(call, {answer, info}, answer->status != shed_status);
 }
