Quarantine requests that crash targets

Cause: a request that crashes its target was retried at the next instance, and its caller's re-sends took target after target down.

Requests in flight at a death become suspects, told to eight members of the service, who pass the news on; a retry of a lost call carries the suspicion in its context. A suspect runs alone among suspects, a complete run clears it, a second crash as the only suspect convicts it: refused not run for 60 s, and those suspected beside it are cleared. A call that was lost twice is not sent a third time.

Ruled out: counting crashes by fingerprint over nodes, which convicts a popular read in flight at each crash; news without the mark in the context, which a retry overtakes.

--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -9,6 +9,7 @@
 #include <trefoil/core/events.hpp>
 #include <trefoil/documents/document_exchange.hpp>
 #include <trefoil/membership/membership.hpp>
+#include <trefoil/quarantine/suspect_list.hpp>
 #include <trefoil/routing/router.hpp>
 #include <trefoil/table/table.hpp>
 #include <trefoil/telemetry/call_metrics.hpp>
@@ -27,6 +28,7 @@
     incarnation_id incarnation;
     admission_settings admission;
     routing_settings routing;
+    quarantine_settings quarantine;
     /// How long a stop waits for calls in flight.
     duration drain_limit = 30s;
     /// Seed of every random choice.
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -6,6 +6,7 @@
 #include <trefoil/admission/admission.hpp>
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
+#include <trefoil/quarantine/quarantine.hpp>
 #include <trefoil/retry/retry_ledger.hpp>
 #include <trefoil/routing/load_reporter.hpp>
 #include <trefoil/routing/router.hpp>
@@ -16,6 +17,7 @@
 struct core_state {
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
+          gate(settings.quarantine, settings.incarnation.value),
           route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
 
     core_settings settings;
@@ -25,6 +27,7 @@
     std::optional<table> current;
     membership members;
     admission admitter;
+    quarantine gate;
     router route;
     load_reporter load_reports;
     retry_ledger ledger;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -1,5 +1,7 @@
 #include "inbound_calls.hpp"
 
+#include <fmt/format.h>
+
 #include <trefoil/admission/admission_position.hpp>
 #include <trefoil/base/overloaded.hpp>
 
@@ -27,18 +29,17 @@
                            call_context context) {
     const auto deadline = state_.now + context.remaining;
     inbound_call entry{reply,    std::move(request), std::move(context), state_.now,
-                       deadline, time_point{},       attempt_id{},       0};
+                       deadline, time_point{},       attempt_id{},       0,
+                       0};
     ++state_.metrics.legs[entry.context.kind].offered;
     refusal reason = refusal::no_table;
     if (state_.current) {
         const auto& row = state_.current->row_or_default(entry.context.kind);
         entry.max_bytes = row.max_bytes;
         reason = refusal_on_arrival(entry, row);
+        entry.kind_limit = row.max_in_flight;
         if (reason == refusal::none) {
-            reason = state_.admitter.offer(
-                state_.now, {call, entry.context.kind,
-                             admission_position(entry.context.priority, entry.context.request),
-                             deadline, row.max_in_flight});
+            reason = enter(call, entry);
         }
     }
     const bool is_admitted = reason == refusal::none;
@@ -60,11 +61,53 @@
     return refusal::none;
 }
 
+refusal inbound_calls::enter(call_id call, const inbound_call& entry) {
+    const auto request = fingerprint_of(entry.context.kind, *entry.request);
+    switch (state_.gate.arrive(state_.now, call, request, entry.context.is_suspect)) {
+    case gate_verdict::pass:
+        return offer(call, entry);
+    case gate_verdict::hold:
+        return refusal::none;
+    case gate_verdict::refuse:
+        break;
+    }
+    return refusal::quarantined;
+}
+
+refusal inbound_calls::offer(call_id call, const inbound_call& entry) {
+    return state_.admitter.offer(state_.now,
+                                 {call, entry.context.kind,
+                                  admission_position(entry.context.priority, entry.context.request),
+                                  entry.deadline, entry.kind_limit});
+}
+
+void inbound_calls::apply_quarantine() {
+    for (const auto& change : state_.gate.take_changes(state_.now)) {
+        auto reason = refusal::none;
+        switch (change.verdict) {
+        case gate_verdict::pass:
+            reason = offer(change.call, calls_.at(change.call));
+            break;
+        case gate_verdict::hold:
+            state_.admitter.withdraw(change.call);
+            break;
+        case gate_verdict::refuse:
+            state_.admitter.withdraw(change.call);
+            reason = refusal::quarantined;
+            break;
+        }
+        if (reason != refusal::none) {
+            refuse(change.call, reason);
+        }
+    }
+}
+
 void inbound_calls::abandon(call_id call) {
     const auto found = calls_.find(call);
     if (found == calls_.end()) {
         return;
     }
+    state_.gate.ended(state_.now, call, run_end::given_up);
     auto& entry = found->second;
     if (entry.is_in_flight()) {
         state_.out.emplace_back(cancel_attempt{entry.attempt});
@@ -90,7 +133,9 @@
     info.incarnation = state_.settings.incarnation;
     info.load = state_.load_reports.take(state_.now, state_.admitter.load());
     constexpr int shed_status = 503;
-    finish_at_target(call, {answer, info}, answer->status != shed_status);
+    const bool was_run = answer->status != shed_status;
+    state_.gate.ended(state_.now, call, was_run ? run_end::completed : run_end::given_up);
+    finish_at_target(call, {answer, info}, was_run);
 }
 
 void inbound_calls::target_failed(attempt_id attempt, attempt_failure failure) {
@@ -104,6 +149,10 @@
     if (failure != attempt_failure::not_sent) {
         info.result = outcome::unknown;
     }
+    if (info.reason == refusal::connection_lost) {
+        state_.gate.ended(state_.now, call, run_end::lost);
+        log_loss(calls_.at(call));
+    }
     finish_at_target(call, {nullptr, info}, false);
 }
 
@@ -114,8 +163,23 @@
     this->end(call, end);
 }
 
+void inbound_calls::log_loss(const inbound_call& entry) {
+    const auto request = fingerprint_of(entry.context.kind, *entry.request);
+    const auto state = state_.gate.state(state_.now, request);
+    if (!state) {
+        return;
+    }
+    const bool is_convicted = *state == suspicion::convicted;
+    state_.log(is_convicted ? log_event::request_convicted : log_event::request_suspected,
+               {{"fingerprint", fmt::format("{:016x}", request)},
+                {"kind", entry.context.kind},
+                {"method", entry.request->method},
+                {"path", entry.request->path}});
+}
+
 void inbound_calls::advance() {
     time_out_in_flight();
+    apply_quarantine();
     for (const auto& change : state_.admitter.advance(state_.now)) {
         if (change.reason == refusal::none) {
             hand_to_target(change.call);
@@ -129,6 +193,7 @@
     auto& entry = calls_.at(call);
     entry.attempt = state_.next_attempt();
     entry.handed_at = state_.now;
+    state_.gate.handed(state_.now, call);
     by_attempt_.emplace(entry.attempt, call);
     state_.ledger.open(call, entry.context.retry_tokens);
     auto context = entry.context;
@@ -150,6 +215,7 @@
     const auto found = calls_.find(call);
     const auto entry = std::move(found->second);
     calls_.erase(found);
+    state_.gate.ended(state_.now, call, run_end::given_up);
     record_end(state_.metrics.legs[entry.context.kind], end.info,
                end.answer ? end.answer->status : 0, state_.now - entry.arrived);
     std::visit(overloaded{
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -63,13 +63,19 @@
         time_point handed_at;
         attempt_id attempt;
         std::uint64_t max_bytes = 0;
+        std::uint32_t kind_limit = 0;
 
         bool is_in_flight() const { return attempt.value != 0; }
     };
 
     refusal refusal_on_arrival(const inbound_call& call, const table_row& row);
+    /// Passes the call to admission unless the quarantine holds it back.
+    refusal enter(call_id call, const inbound_call& entry);
+    refusal offer(call_id call, const inbound_call& entry);
+    void apply_quarantine();
     void hand_to_target(call_id call);
     void finish_at_target(call_id call, const call_end& end, bool succeeded);
+    void log_loss(const inbound_call& entry);
     void refuse(call_id call, refusal reason);
     void end(call_id call, const call_end& end);
     void time_out_in_flight();
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -5,6 +5,7 @@
 #include <trefoil/base/error.hpp>
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/membership/member_list.hpp>
+#include <trefoil/routing/neighbours.hpp>
 
 #include "core_state.hpp"
 #include "document_rules.hpp"
@@ -128,6 +129,9 @@
         }
         state_.target_is_up = e.is_up;
         state_.admitter.target_changed(state_.now, e.is_up);
+        if (!e.is_up) {
+            state_.gate.target_went_down(state_.now);
+        }
         state_.log(e.is_up ? log_event::target_up : log_event::target_down, {});
     }
 
@@ -145,7 +149,7 @@
                 [&](const leaving_notice& notice) {
                     state_.members.announce_leaving(notice.instance);
                 },
-                [&](const suspect_notice&) {},
+                [&](const suspect_notice& notice) { state_.gate.heard(state_.now, notice); },
                 [&](const cancel_notice&) {},
                 [&](const auto&) { apply(documents_.on_message(state_.now, e.from, e.message)); },
             },
@@ -237,8 +241,19 @@
         }
     }
 
+    void send_notices() {
+        for (const auto& notice : state_.gate.take_notices(state_.now)) {
+            for (const auto& peer :
+                 nearest_of_service(state_.members, state_.settings.self, state_.settings.service,
+                                    {state_.settings.domain, state_.settings.region})) {
+                state_.out.emplace_back(send_control{peer.instance, peer.control, notice});
+            }
+        }
+    }
+
     actions finish_step() {
         log_ejections();
+        send_notices();
         std::optional<time_point> wake;
         const auto consider = [&](std::optional<time_point> at) {
             if (at && (!wake || *at < *wake)) {
@@ -248,6 +263,7 @@
         consider(inbound_.next_wake());
         consider(outbound_.next_wake());
         consider(documents_.next_wake());
+        consider(state_.gate.next_wake());
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
         }
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -10,6 +10,9 @@
 /// Upper end of the random wait before a retry.
 constexpr duration retry_backoff = 20ms;
 
+/// A call that lost its connection so often may have crashed as many targets and is not sent again.
+constexpr std::uint32_t max_lost_attempts = 2;
+
 attempt_result result_of(const call_end& end) {
     constexpr int first_server_error = 500;
     constexpr int shed_status = 503;
@@ -120,6 +123,13 @@
 void outbound_calls::try_next(call_id call) {
     auto& entry = calls_.at(call);
     entry.retry_at.reset();
+    const auto suspected = suspicion_of(entry);
+    if (suspected == suspicion::convicted) {
+        const call_end refusal_end{nullptr,
+                                   refused(refusal::quarantined, 0, state_.settings.incarnation)};
+        finish(call, entry.last_end.value_or(refusal_end));
+        return;
+    }
     const auto chosen = state_.route.pick(state_.now, state_.members, entry.request->service,
                                           entry.tried, state_.random);
     if (!chosen) {
@@ -138,6 +148,7 @@
     state_.route.started(chosen->instance);
     auto context = entry.context;
     context.remaining = entry.deadline - state_.now;
+    context.is_suspect = suspected.has_value() || entry.lost_attempts > 0;
     // One token stays here, so that the loss of this attempt leaves one for a retry.
     const std::uint32_t kept = std::min<std::uint32_t>(entry.tokens, 1);
     entry.lent = entry.tokens - kept;
@@ -190,6 +201,7 @@
     if (result == attempt_result::refused_leaving) {
         state_.members.announce_leaving(entry.instance);
     }
+    note_for_quarantine(entry, end.info);
     entry.last_end = end;
     entry.may_have_run = entry.may_have_run || end.info.result == outcome::unknown;
     if (may_retry(entry, end.info)) {
@@ -203,7 +215,33 @@
     const bool may_run_again =
         info.result == outcome::not_run || (info.result == outcome::unknown && !call.context.once);
     return may_run_again && call.tokens > 0 && another_instance_may_help(info.reason) &&
-           state_.now < call.deadline;
+           call.lost_attempts < max_lost_attempts && state_.now < call.deadline;
+}
+
+void outbound_calls::note_for_quarantine(outbound_call& entry, const answer_info& info) {
+    const bool was_lost =
+        info.result == outcome::unknown && info.reason == refusal::connection_lost;
+    if (was_lost) {
+        ++entry.lost_attempts;
+    }
+    const bool is_of_note =
+        was_lost || (info.result == outcome::completed && !state_.gate.is_idle());
+    if (!is_of_note) {
+        return;
+    }
+    const auto request = fingerprint_of(entry.context.kind, *entry.request);
+    if (was_lost) {
+        state_.gate.attempt_lost(state_.now, request);
+    } else {
+        state_.gate.attempt_completed(state_.now, request);
+    }
+}
+
+std::optional<suspicion> outbound_calls::suspicion_of(const outbound_call& entry) const {
+    if (state_.gate.is_idle()) {
+        return std::nullopt;
+    }
+    return state_.gate.state(state_.now, fingerprint_of(entry.context.kind, *entry.request));
 }
 
 void outbound_calls::schedule_retry(call_id call) {
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -52,6 +52,8 @@
         std::vector<instance_id> tried;
         /// True once an attempt ended without saying that it did not run.
         bool may_have_run = false;
+        /// Attempts that were lost with their connection.
+        std::uint32_t lost_attempts = 0;
         std::optional<time_point> retry_at;
         /// How the last attempt ended.
         std::optional<call_end> last_end;
@@ -62,6 +64,9 @@
     void attempt_ended(call_id call, const call_end& end, attempt_result result);
     bool may_retry(const outbound_call& call, const answer_info& info) const;
     void schedule_retry(call_id call);
+    /// Tells the quarantine how an attempt ended.
+    void note_for_quarantine(outbound_call& entry, const answer_info& info);
+    std::optional<suspicion> suspicion_of(const outbound_call& entry) const;
     void finish(call_id call, call_end end);
     void time_out(call_id call);
 
--- a/libs/core/tests/test_site.hpp
+++ b/libs/core/tests/test_site.hpp
@@ -30,6 +30,8 @@
     /// Starts of work by instance and path.
     std::vector<std::pair<instance_id, std::string>> runs;
     std::vector<std::pair<instance_id, log_record>> records;
+    /// For instances added from now on.
+    bool is_quarantined = true;
 
     explicit test_site(fake_target::work_of work, std::uint64_t seed = 1)
         : fleet(network_settings{}, std::move(work), seed) {
@@ -53,6 +55,7 @@
         added.core.peer_address = {"127.0.0.1", ++last_port_};
         added.core.admission = {slots, slots * 10, 1.0};
         added.core.routing = routing;
+        added.core.quarantine.is_enabled = is_quarantined;
         added.target.slots = slots;
         fleet.add(added);
         return name;
--- a/libs/wire/include/trefoil/wire/call_context.hpp
+++ b/libs/wire/include/trefoil/wire/call_context.hpp
@@ -31,6 +31,8 @@
     call_id parent_call;
     /// Set only towards the application: the node run in which parent_call has its meaning.
     incarnation_id parent_incarnation;
+    /// True if an earlier attempt of this call was lost, perhaps because it crashed its target.
+    bool is_suspect = false;
 
     friend bool operator==(const call_context&, const call_context&) = default;
 };
--- a/libs/wire/include/trefoil/wire/control_message.hpp
+++ b/libs/wire/include/trefoil/wire/control_message.hpp
@@ -78,12 +78,17 @@
 
 std::string_view name_of(suspicion state);
 
-/// Tells neighbours of a suspect.
+/// Most requests that one notice tells of.
+inline constexpr std::size_t max_suspects_in_notice = 256;
+
+/// Tells neighbours of requests that were in flight when a target died.
 struct suspect_notice {
-    std::uint64_t fingerprint = 0;
+    std::vector<std::uint64_t> fingerprints;
     suspicion state = suspicion::suspected;
     /// How long the state is held from now on.
     duration lifetime{0};
+    /// Names the crash that they were first suspected for; 0 if it is not known.
+    std::uint64_t incident = 0;
 
     friend bool operator==(const suspect_notice&, const suspect_notice&) = default;
 };
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -70,7 +70,10 @@
                    },
                    [&](const suspect_notice& notice) {
                        auto& body = *out.mutable_suspect();
-                       body.set_fingerprint(notice.fingerprint);
+                       for (const auto fingerprint : notice.fingerprints) {
+                           body.add_fingerprints(fingerprint);
+                       }
+                       body.set_incident(notice.incident);
                        body.set_state(static_cast<std::uint32_t>(notice.state));
                        body.set_lifetime_us(static_cast<std::uint64_t>(notice.lifetime.count()));
                    },
@@ -107,11 +110,14 @@
 
 absl::StatusOr<control_message> from_suspect(const proto::SuspectNotice& body) {
     if (body.state() > static_cast<std::uint32_t>(suspicion::cleared) ||
+        static_cast<std::size_t>(body.fingerprints_size()) > max_suspects_in_notice ||
         body.lifetime_us() > max_duration_us) {
         return out_of_range("suspect");
     }
-    return suspect_notice{body.fingerprint(), static_cast<suspicion>(body.state()),
-                          duration(static_cast<duration::rep>(body.lifetime_us()))};
+    return suspect_notice{{body.fingerprints().begin(), body.fingerprints().end()},
+                          static_cast<suspicion>(body.state()),
+                          duration(static_cast<duration::rep>(body.lifetime_us())),
+                          body.incident()};
 }
 
 } // namespace
@@ -144,6 +150,7 @@
     message.set_depth(context.depth);
     message.set_parent_call(context.parent_call.value);
     message.set_parent_incarnation(context.parent_incarnation.value);
+    message.set_is_suspect(context.is_suspect);
     return absl::WebSafeBase64Escape(message.SerializeAsString());
 }
 
@@ -167,7 +174,8 @@
                         message->retry_tokens(),
                         message->depth(),
                         {message->parent_call()},
-                        {message->parent_incarnation()}};
+                        {message->parent_incarnation()},
+                        message->is_suspect()};
 }
 
 std::string encode_answer_info(const answer_info& info) {
