--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -10,6 +10,8 @@
 #include <trefoil/documents/document_exchange.hpp>
 #include <trefoil/membership/membership.hpp>
 #include <trefoil/once/kept_runs.hpp>
+#include <trefoil/quarantine/suspect_list.hpp>
+#include <trefoil/routing/router.hpp>
 #include <trefoil/table/table.hpp>
 #include <trefoil/telemetry/call_metrics.hpp>
 
@@ -31,6 +33,8 @@
     /// first time within the same lifetime after its issue.
     kept_limits kept_once;
     admission_settings admission;
+    routing_settings routing;
+    quarantine_settings quarantine;
     /// How long a stop waits for calls in flight.
     duration drain_limit = 30s;
     /// Seed of every random choice.
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -6,7 +6,9 @@
 #include <trefoil/admission/admission.hpp>
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
+#include <trefoil/quarantine/quarantine.hpp>
 #include <trefoil/retry/retry_ledger.hpp>
+#include <trefoil/routing/load_reporter.hpp>
 #include <trefoil/routing/router.hpp>
 
 namespace trefoil {
@@ -15,7 +17,8 @@
 struct core_state {
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
-          route({settings.domain, settings.region}), random(settings.seed) {}
+          gate(settings.quarantine, settings.incarnation.value),
+          route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
 
     core_settings settings;
     time_point now;
@@ -24,7 +27,9 @@
     std::optional<table> current;
     membership members;
     admission admitter;
+    quarantine gate;
     router route;
+    load_reporter load_reports;
     retry_ledger ledger;
     call_metrics metrics;
     random_source random;
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -5,6 +5,7 @@
 #include <trefoil/base/error.hpp>
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/membership/member_list.hpp>
+#include <trefoil/routing/neighbours.hpp>
 
 #include "core_state.hpp"
 #include "document_rules.hpp"
@@ -145,6 +146,9 @@
         }
         state_.target_is_up = e.is_up;
         state_.admitter.target_changed(state_.now, e.is_up);
+        if (!e.is_up) {
+            state_.gate.target_went_down(state_.now);
+        }
         state_.log(e.is_up ? log_event::target_up : log_event::target_down, {});
     }
 
@@ -162,7 +166,7 @@
                 [&](const leaving_notice& notice) {
                     state_.members.announce_leaving(notice.instance);
                 },
-                [&](const suspect_notice&) {},
+                [&](const suspect_notice& notice) { state_.gate.heard(state_.now, notice); },
                 [&](const cancel_notice&) {},
                 [&](const auto&) { apply(documents_.on_message(state_.now, e.from, e.message)); },
             },
@@ -243,7 +247,31 @@
         documents_.members_changed(state_.now, state_.members);
     }
 
+    void log_ejections() {
+        for (const auto& change : state_.route.take_changes()) {
+            if (change.is_ejected) {
+                state_.log(log_event::instance_ejected,
+                           {{"instance", change.instance.str()},
+                            {"ms", fmt::format("{:.0f}", to_ms(change.time))}});
+            } else {
+                state_.log(log_event::instance_returned, {{"instance", change.instance.str()}});
+            }
+        }
+    }
+
+    void send_notices() {
+        for (const auto& notice : state_.gate.take_notices(state_.now)) {
+            for (const auto& peer :
+                 nearest_of_service(state_.members, state_.settings.self, state_.settings.service,
+                                    {state_.settings.domain, state_.settings.region})) {
+                state_.out.emplace_back(send_control{peer.instance, peer.control, notice});
+            }
+        }
+    }
+
     actions finish_step() {
+        log_ejections();
+        send_notices();
         std::optional<time_point> wake;
         const auto consider = [&](std::optional<time_point> at) {
             if (at && (!wake || *at < *wake)) {
@@ -253,6 +281,7 @@
         consider(inbound_.next_wake());
         consider(outbound_.next_wake());
         consider(documents_.next_wake());
+        consider(state_.gate.next_wake());
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
         }
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -10,9 +10,17 @@
 /// Upper end of the random wait before a retry.
 constexpr duration retry_backoff = 20ms;
 
-attempt_result result_of(const answer_info& info) {
+/// A call that lost its connection so often may have crashed as many targets and is not sent again.
+constexpr std::uint32_t max_lost_attempts = 2;
+
+attempt_result result_of(const call_end& end) {
+    constexpr int first_server_error = 500;
+    constexpr int shed_status = 503;
+    const auto& info = end.info;
     if (info.result == outcome::completed) {
-        return attempt_result::answered;
+        const int status = end.answer ? end.answer->status : 0;
+        const bool is_error = status >= first_server_error && status != shed_status;
+        return is_error ? attempt_result::answered_error : attempt_result::answered;
     }
     switch (info.reason) {
     case refusal::overload:
@@ -114,6 +122,13 @@
 void outbound_calls::try_next(call_id call) {
     auto& entry = calls_.at(call);
     entry.retry_at.reset();
+    const auto suspected = suspicion_of(entry);
+    if (suspected == suspicion::convicted) {
+        const call_end refusal_end{nullptr,
+                                   refused(refusal::quarantined, 0, state_.settings.incarnation)};
+        finish(call, entry.last_end.value_or(refusal_end));
+        return;
+    }
     const auto chosen = state_.route.pick(state_.now, state_.members, entry.request->service,
                                           entry.tried, state_.random);
     if (!chosen) {
@@ -132,6 +147,7 @@
     state_.route.started(chosen->instance);
     auto context = entry.context;
     context.remaining = entry.deadline - state_.now;
+    context.is_suspect = suspected.has_value() || entry.lost_attempts > 0;
     // One token stays here, so that the loss of this attempt leaves one for a retry.
     const std::uint32_t kept = std::min<std::uint32_t>(entry.tokens, 1);
     entry.lent = entry.tokens - kept;
@@ -149,7 +165,7 @@
 void outbound_calls::attempt_answered(attempt_id attempt, const call_end& end) {
     const auto found = by_attempt_.find(attempt);
     if (found != by_attempt_.end()) {
-        attempt_ended(found->second, end, result_of(end.info));
+        attempt_ended(found->second, end, result_of(end));
     }
 }
 
@@ -170,7 +186,9 @@
     } else if (failure == attempt_failure::answer_too_large) {
         info.reason = refusal::too_large;
     }
-    attempt_ended(found->second, {nullptr, info}, attempt_result::failed);
+    const bool timed_out = failure == attempt_failure::timed_out;
+    attempt_ended(found->second, {nullptr, info},
+                  timed_out ? attempt_result::timed_out : attempt_result::failed);
 }
 
 void outbound_calls::attempt_ended(call_id call, const call_end& end, attempt_result result) {
@@ -182,6 +200,7 @@
     if (result == attempt_result::refused_leaving) {
         state_.members.announce_leaving(entry.instance);
     }
+    note_for_quarantine(entry, end.info);
     entry.last_end = end;
     entry.may_have_run = entry.may_have_run || end.info.result == outcome::unknown;
     if (may_retry(entry, end.info)) {
@@ -195,7 +214,33 @@
     const bool may_run_again =
         info.result == outcome::not_run || (info.result == outcome::unknown && !call.context.once);
     return may_run_again && call.tokens > 0 && another_instance_may_help(info.reason) &&
-           state_.now < call.deadline;
+           call.lost_attempts < max_lost_attempts && state_.now < call.deadline;
+}
+
+void outbound_calls::note_for_quarantine(outbound_call& entry, const answer_info& info) {
+    const bool was_lost =
+        info.result == outcome::unknown && info.reason == refusal::connection_lost;
+    if (was_lost) {
+        ++entry.lost_attempts;
+    }
+    const bool is_of_note =
+        was_lost || (info.result == outcome::completed && !state_.gate.is_idle());
+    if (!is_of_note) {
+        return;
+    }
+    const auto request = fingerprint_of(entry.context.kind, *entry.request);
+    if (was_lost) {
+        state_.gate.attempt_lost(state_.now, request);
+    } else {
+        state_.gate.attempt_completed(state_.now, request);
+    }
+}
+
+std::optional<suspicion> outbound_calls::suspicion_of(const outbound_call& entry) const {
+    if (state_.gate.is_idle()) {
+        return std::nullopt;
+    }
+    return state_.gate.state(state_.now, fingerprint_of(entry.context.kind, *entry.request));
 }
 
 void outbound_calls::schedule_retry(call_id call) {
@@ -232,7 +277,7 @@
     auto& entry = found->second;
     if (entry.attempt.value != 0) {
         by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::refused_request, {});
+        state_.route.finished(state_.now, entry.instance, attempt_result::withdrawn, {});
         if (entry.instance == state_.settings.self) {
             cancel_local_(entry.attempt);
         } else {
@@ -267,7 +312,7 @@
     if (entry.attempt.value != 0) {
         info.result = outcome::unknown;
         by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::failed, {});
+        state_.route.finished(state_.now, entry.instance, attempt_result::timed_out, {});
         if (entry.instance == state_.settings.self) {
             cancel_local_(entry.attempt);
         } else {
