End a stopped node also while reads of the platform are due

Cause: the shell used the core's timer for the delay before its exit, and the core armed that timer again in the same step for a read that was due. Ruled out: a call left over (0 calls) and a blocked signal. The exit has a timer of its own now; the new process test stops a node while the platform is away.

--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -55,6 +55,7 @@
         platform_ = std::make_unique<platform_client>(*client_, *settings_.platform);
         uv_timer_init(&loop_, &timer_);
         timer_.data = this;
+        uv_timer_init(&loop_, &exit_timer_);
     }
 
     absl::Status open() {
@@ -332,9 +333,8 @@
         app_server_->stop_accepting();
         peer_server_->stop_accepting();
         // Answers just given are still being written.
-        uv_timer_stop(&timer_);
         uv_timer_start(
-            &timer_, [](uv_timer_t* timer) { uv_stop(timer->loop); }, exit_delay_ms, 0);
+            &exit_timer_, [](uv_timer_t* timer) { uv_stop(timer->loop); }, exit_delay_ms, 0);
     }
 
     node_settings settings_;
@@ -343,6 +343,8 @@
     time_point started_;
     uv_loop_t loop_{};
     uv_timer_t timer_{};
+    /// Apart from timer_, which the core arms again while it waits for other things.
+    uv_timer_t exit_timer_{};
     uv_signal_t term_signal_{};
     uv_signal_t int_signal_{};
     std::unique_ptr<http_client> client_;
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -209,6 +209,12 @@
         REQUIRE(get(operate_, "/mode/" + mode).has_value());
     }
 
+    /// Calls that the platform's stand-in has counted.
+    std::uint64_t platform_call_count() {
+        const auto answer = get(operate_, "/calls");
+        return answer ? std::strtoull(answer->body.c_str(), nullptr, 10) : 0;
+    }
+
     /// A caller's request; nothing if no complete answer came.
     std::optional<http_answer> call(const std::string& name, const std::string& method,
                                     const std::string& path, const std::string& body,
--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -7,6 +7,9 @@
 const std::string open_table = table_header + "default,*,*,*,5,1,5000,2,100,no,65536,99\n";
 const std::string closed_table = table_header + "default,*,*,*,5,1,5000,2,0,no,65536,99\n";
 
+/// Reads beyond the first ones of two nodes, so that failed ones are among them.
+constexpr std::uint64_t platform_calls_while_down = 8;
+
 struct two_services : process_site {
     two_services() {
         start_platform(open_table);
@@ -62,3 +65,14 @@
     CHECK(std::get<http_answer>(*result).body == "(a 7(b 7))");
     CHECK(site.node("a1").wait() == 0);
 }
+
+TEST_CASE("a stop ends the process also while the platform is away and reads are due again") {
+    two_services site;
+    site.set_platform_mode("down");
+    site.wait_until([&] {
+        site.call("a1", "GET", "/x", "7");
+        return site.platform_call_count() > platform_calls_while_down;
+    });
+    site.node("a1").signal(SIGTERM);
+    CHECK(site.node("a1").wait() == 0);
+}
