Let readers read the platform and nodes pass documents on

Cause: every node kept a read waiting at the platform and fetched each document whole. At 7,300 nodes and 0.16 changes/s that is 1,180 reads/s of the 2,000/s that all readers share, and a starting node served whatever a stale platform told it.

A document is now rows with the revision that changed them, tombstones with a bound and a hash of the whole text. Two nodes of each failure domain read, chosen by rendezvous hash over a logical epoch; four standbys step in one after the other when no word of a read comes. Changed rows are pushed to neighbours, digests are compared with one neighbour in turn, and a receiver asks for what it lacks. A first table waits for word of the neighbours.

Ruled out: an epoch from the wall clock (clocks are not synchronised; with independent epochs the number of readers in a domain is random, none in 13% of the epochs for a mean of two); watching from a refused revision only (a garbage answer with a high revision would hide what follows).

With all on the tests pass.

The wait in the processes' site for a node to serve was for the list alone; it now includes a table in force, which may come later than the list.

--- a/libs/control/src/control_channel.cpp
+++ b/libs/control/src/control_channel.cpp
@@ -143,7 +143,9 @@
         }
         grpc::ChannelArguments arguments;
         arguments.SetMaxReceiveMessageSize(max_message_bytes);
+        constexpr int first_backoff_ms = 200;
         constexpr int max_backoff_ms = 2000;
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, first_backoff_ms);
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_backoff_ms);
         auto channel =
             grpc::CreateCustomChannel(to_string(to), grpc::InsecureChannelCredentials(), arguments);
--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -25,6 +25,11 @@
     region_name region;
     /// Where other nodes reach this one.
     endpoint peer_address;
+    /// Where other nodes send control messages to.
+    endpoint control_address;
+    /// Nodes that the fleet is planned for; spreads the reads of nodes that know no list yet.
+    std::size_t planned_nodes = 10;
+    exchange_mechanisms document_mechanisms;
     /// Chosen at random for each run of the process.
     incarnation_id incarnation;
     /// Secret of this run of the process, by which it knows the idempotency keys that it gave out.
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -45,7 +45,9 @@
                     outbound_.arrive_from_caller(run, std::move(request), once);
                 }),
           documents_({state_.settings.self, state_.settings.domain, state_.settings.region,
-                      state_.settings.seed, validate_document}) {}
+                      state_.settings.control_address, state_.settings.planned_nodes,
+                      state_.settings.seed, validate_document,
+                      state_.settings.document_mechanisms}) {}
 
     actions start(time_point now) {
         state_.now = now;
@@ -231,8 +233,10 @@
     }
 
     void apply(const control_send& send) {
-        if (const auto* peer = state_.members.find(send.to)) {
-            state_.out.emplace_back(send_control{send.to, peer->control, send.message});
+        const auto* peer = state_.members.find(send.to);
+        const auto address = peer != nullptr ? peer->control : send.address;
+        if (!address.ip.empty()) {
+            state_.out.emplace_back(send_control{send.to, address, send.message});
         }
     }
 
--- a/libs/documents/include/trefoil/documents/document_exchange.hpp
+++ b/libs/documents/include/trefoil/documents/document_exchange.hpp
@@ -32,6 +32,8 @@
 struct control_send {
     instance_id to;
     control_message message;
+    /// Where to send it if the receiver is not listed; empty if not known.
+    endpoint address;
 
     friend bool operator==(const control_send&, const control_send&) = default;
 };
@@ -48,14 +50,37 @@
 using exchange_output = std::variant<platform_read, control_send, document_changed, log_record>;
 using exchange_outputs = std::vector<exchange_output>;
 
+/// Parts of the exchange that measurements and tests switch off.
+struct exchange_mechanisms {
+    /// Only the readers of each failure domain read the platform, not every node.
+    bool shared_reads = true;
+    /// What changed is sent to the neighbours at once.
+    bool push = true;
+    /// What is sent are changed rows, not whole documents.
+    bool deltas = true;
+    /// Digests are compared with one neighbour at a time.
+    bool compare = true;
+    /// A receiver asks for what it lacks as soon as it notices.
+    bool repair = true;
+    /// A table is put in force at a start only when the neighbours have been asked.
+    bool ask_before_start = true;
+
+    friend bool operator==(const exchange_mechanisms&, const exchange_mechanisms&) = default;
+};
+
 /// What the exchange needs to know of its node.
 struct exchange_settings {
     instance_id self;
     domain_name domain;
     region_name region;
+    /// Where other nodes send control messages to.
+    endpoint control;
+    /// Nodes to reckon with as long as no list is known.
+    std::size_t planned_nodes = 1;
     std::uint64_t seed = 0;
     /// Says whether a document's text may come into force. Must depend on the text alone.
     std::function<absl::Status(document_id, std::string_view)> validate;
+    exchange_mechanisms mechanisms;
 };
 
 /// State of one document for operators.
@@ -68,6 +93,10 @@
     time_point confirmed;
     /// `platform`, a neighbour's instance id, or empty.
     std::string source;
+    /// The highest revision that any node or the platform told of.
+    revision heard;
+    /// True if this node reads the document from the platform for its failure domain.
+    bool is_reader = false;
 
     friend bool operator==(const document_status&, const document_status&) = default;
 };
@@ -84,7 +113,8 @@
     /// Begins; called once.
     exchange_outputs start(time_point now);
     /// The platform answered a read with a document.
-    exchange_outputs on_read(time_point now, document_id document, revision at, std::string text);
+    exchange_outputs on_read(time_point now, document_id document, revision at,
+                             const std::string& text);
     /// The platform has nothing newer.
     exchange_outputs on_unchanged(time_point now, document_id document);
     /// The platform can't be reached or gave no usable answer.
@@ -102,8 +132,8 @@
     document_status status(document_id document) const;
 
 private:
-    struct state;
-    std::unique_ptr<state> state_;
+    class impl;
+    std::unique_ptr<impl> impl_;
 };
 
 } // namespace trefoil
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -121,6 +121,7 @@
     settings.incarnation = {random_()};
     settings.seed = random_();
     settings.key_secret = std::to_string(random_());
+    settings.control_address = settings.peer_address;
     at->is_running = true;
     at->is_paused = false;
     at->held.clear();
--- a/libs/node/include/trefoil/node/node_settings.hpp
+++ b/libs/node/include/trefoil/node/node_settings.hpp
@@ -24,6 +24,7 @@
     double queue_per_slot = 1.0;
     duration drain_limit = 30s;
     std::uint64_t max_body_bytes = 16'000'000;
+    std::uint64_t planned_nodes = 100;
     bool check_only = false;
 };
 
--- a/libs/node/src/admin_pages.cpp
+++ b/libs/node/src/admin_pages.cpp
@@ -115,9 +115,10 @@
 
 std::string document_json(const document_status& status, time_point now) {
     return fmt::format(
-        R"({{"revision":{},"hash":"{:016x}","in_force_s":{:.3f},"confirmed_s":{:.3f},"source":"{}"}})",
+        R"({{"revision":{},"hash":"{:016x}","in_force_s":{:.3f},"confirmed_s":{:.3f},"source":"{}",)"
+        R"("heard":{},"reader":{}}})",
         status.held.value, status.hash, to_seconds(now - status.since),
-        to_seconds(now - status.confirmed), status.source);
+        to_seconds(now - status.confirmed), status.source, status.heard.value, status.is_reader);
 }
 
 std::string status_page(const admin_view& view) {
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -29,6 +29,8 @@
                              "how long a stop waits for calls in flight");
     options.add_count("max-body-bytes", &s.max_body_bytes, 1, 64'000'000, "bytes",
                       "largest request body that a listener reads");
+    options.add_count("planned-nodes", &s.planned_nodes, 1, 1'000'000, "nodes",
+                      "nodes that the fleet is planned for; spreads first reads of the platform");
     options.add_switch("check-settings", &s.check_only, "checks the settings and exits");
 }
 
@@ -40,6 +42,8 @@
     core.domain = domain_name(s.domain);
     core.region = region_name(s.region);
     core.peer_address = *s.peer_listener;
+    core.control_address = *s.control_listener;
+    core.planned_nodes = s.planned_nodes;
     core.incarnation = {random};
     core.key_secret = std::move(key_secret);
     core.admission = {static_cast<std::uint32_t>(s.slots),
--- a/libs/wire/include/trefoil/wire/control_message.hpp
+++ b/libs/wire/include/trefoil/wire/control_message.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include <trefoil/base/endpoint.hpp>
 #include <trefoil/base/ids.hpp>
 #include <trefoil/base/time.hpp>
 
@@ -53,6 +54,14 @@
     document_id document = document_id::table;
     revision held;
     std::uint64_t hash = 0;
+    /// Time since the platform confirmed this state, as far as the sender has heard.
+    duration age{0};
+    /// The sender's epoch of reader duty.
+    std::uint64_t epoch = 0;
+    /// True if the digest answers one; it is not answered again.
+    bool is_answer = false;
+    /// The sender's control listener, for receivers that have no instance list yet.
+    endpoint reply_to;
 
     friend bool operator==(const document_digest&, const document_digest&) = default;
 };
@@ -61,6 +70,8 @@
 struct document_pull {
     document_id document = document_id::table;
     revision held;
+    /// The sender's control listener.
+    endpoint reply_to;
 
     friend bool operator==(const document_pull&, const document_pull&) = default;
 };
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -33,6 +33,10 @@
     return message;
 }
 
+std::string reply_text(const endpoint& reply_to) {
+    return reply_to.ip.empty() ? std::string() : to_string(reply_to);
+}
+
 proto::ControlMessage to_proto(const control_message& message) {
     proto::ControlMessage out;
     std::visit(overloaded{
@@ -57,11 +61,17 @@
                        body.set_document(static_cast<std::uint32_t>(digest.document));
                        body.set_held(digest.held.value);
                        body.set_hash(digest.hash);
+                       body.set_age_us(
+                           static_cast<std::uint64_t>(std::max(digest.age, 0us).count()));
+                       body.set_epoch(digest.epoch);
+                       body.set_is_answer(digest.is_answer);
+                       body.set_reply_to(reply_text(digest.reply_to));
                    },
                    [&](const document_pull& pull) {
                        auto& body = *out.mutable_pull();
                        body.set_document(static_cast<std::uint32_t>(pull.document));
                        body.set_held(pull.held.value);
+                       body.set_reply_to(reply_text(pull.reply_to));
                    },
                    [&](const leaving_notice& notice) {
                        auto& body = *out.mutable_leaving();
@@ -108,6 +118,37 @@
     return delta;
 }
 
+absl::StatusOr<endpoint> reply_endpoint(const std::string& text) {
+    return text.empty() ? endpoint{} : parse_endpoint(text);
+}
+
+absl::StatusOr<control_message> from_digest(const proto::DocumentDigest& body) {
+    const auto document = to_document(body.document());
+    if (!document.ok()) {
+        return document.status();
+    }
+    const auto reply_to = reply_endpoint(body.reply_to());
+    if (!reply_to.ok() || body.age_us() > max_duration_us) {
+        return out_of_range("reply_to or age");
+    }
+    return document_digest{*document,    {body.held()},
+                           body.hash(),  duration(static_cast<duration::rep>(body.age_us())),
+                           body.epoch(), body.is_answer(),
+                           *reply_to};
+}
+
+absl::StatusOr<control_message> from_pull(const proto::DocumentPull& body) {
+    const auto document = to_document(body.document());
+    if (!document.ok()) {
+        return document.status();
+    }
+    const auto reply_to = reply_endpoint(body.reply_to());
+    if (!reply_to.ok()) {
+        return out_of_range("reply_to");
+    }
+    return document_pull{*document, {body.held()}, *reply_to};
+}
+
 absl::StatusOr<control_message> from_suspect(const proto::SuspectNotice& body) {
     if (body.state() > static_cast<std::uint32_t>(suspicion::cleared) ||
         static_cast<std::size_t>(body.fingerprints_size()) > max_suspects_in_notice ||
@@ -238,20 +279,10 @@
     switch (message.body_case()) {
     case proto::ControlMessage::kDelta:
         return from_delta(message.delta());
-    case proto::ControlMessage::kDigest: {
-        const auto document = to_document(message.digest().document());
-        if (!document.ok()) {
-            return document.status();
-        }
-        return document_digest{*document, {message.digest().held()}, message.digest().hash()};
-    }
-    case proto::ControlMessage::kPull: {
-        const auto document = to_document(message.pull().document());
-        if (!document.ok()) {
-            return document.status();
-        }
-        return document_pull{*document, {message.pull().held()}};
-    }
+    case proto::ControlMessage::kDigest:
+        return from_digest(message.digest());
+    case proto::ControlMessage::kPull:
+        return from_pull(message.pull());
     case proto::ControlMessage::kLeaving:
         return leaving_notice{instance_id(message.leaving().instance()),
                               {message.leaving().incarnation()}};
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -190,8 +190,10 @@
         }
         for (const auto& [name, m] : members_) {
             wait_until([&, node = name] {
-                return status_of(node).find(fmt::format("\"members\":{}", members_.size())) !=
-                       std::string::npos;
+                const auto status = status_of(node);
+                const auto all_members = fmt::format("\"members\":{}", members_.size());
+                return status.find(all_members) != std::string::npos &&
+                       status.find(R"("table":{"revision":0,)") == std::string::npos;
             });
         }
     }
