Add trefoil-table: check, diff, explain and status

Cause: operators drive the system by the table alone, and had no way to see before publishing what a change does, or afterwards how far it got.

check lists every error as NAME:LINE:COLUMN, diff says what changes for which kind and whether the order of rows does, explain names the row that a call gets, the rows before it that miss and those behind it that match too, status compares the status pages of nodes.

--- /dev/null
+++ b/tools/trefoil-table/main.cpp
@@ -0,0 +1,143 @@
+// Checks, compares and explains tables, and asks nodes which one is in force.
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <map>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/error.hpp>
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http/http_client.hpp>
+#include <trefoil/operate/node_state.hpp>
+#include <trefoil/operate/table_commands.hpp>
+#include <trefoil/settings/option_set.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+constexpr std::string_view usage = "trefoil-table check FILE\n"
+                                   "trefoil-table diff BEFORE AFTER\n"
+                                   "trefoil-table explain --path PATH [--method METHOD] "
+                                   "[--service SERVICE] FILE\n"
+                                   "trefoil-table status ADMIN-ADDRESS...\n";
+
+struct table_options {
+    std::string service;
+    std::string method = "GET";
+    std::string path;
+};
+
+using arguments = std::vector<std::string>;
+
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+}
+
+/// Reads all files and hands them on; a file that can't be read ends the command.
+command_result with_files(const arguments& paths,
+                          const std::function<command_result(const arguments&)>& command) {
+    arguments texts;
+    for (const auto& path : paths) {
+        auto text = read_file(path);
+        if (!text) {
+            return {exit_failed, fmt::format("{}: can't be read\n", path)};
+        }
+        texts.push_back(*std::move(text));
+    }
+    return command(texts);
+}
+
+command_result ask_nodes(const arguments& addresses) {
+    uv_loop_t* loop = uv_default_loop();
+    http_client client(loop);
+    std::vector<asked_node> nodes;
+    std::size_t open = 0;
+    for (const auto& address : addresses) {
+        const auto where = parse_endpoint(address);
+        nodes.push_back({address, where.ok() ? absl::UnavailableError("no answer")
+                                             : absl::StatusOr<node_state>(where.status())});
+        if (!where.ok()) {
+            continue;
+        }
+        ++open;
+        const http_request request{"GET", "/status", service_name(address), {}, "", "", ""};
+        exchange_limits limits;
+        limits.timeout = std::chrono::seconds(3);
+        client.send(*where, request, limits, [&, i = nodes.size() - 1](exchange_result result) {
+            --open;
+            if (const auto* answer = std::get_if<http_answer>(&result)) {
+                nodes[i].state = read_node_state(answer->body);
+            }
+        });
+    }
+    while (open > 0) {
+        uv_run(loop, UV_RUN_ONCE);
+    }
+    return compare_nodes(nodes);
+}
+
+command_result run_command(const table_options& options, arguments words) {
+    const auto name = words.empty() ? std::string() : words.front();
+    if (!words.empty()) {
+        words.erase(words.begin());
+    }
+    if (name == "check" && words.size() == 1) {
+        return with_files(words,
+                          [&](const arguments& texts) { return check_table(words[0], texts[0]); });
+    }
+    if (name == "diff" && words.size() == 2) {
+        return with_files(words,
+                          [](const arguments& texts) { return diff_tables(texts[0], texts[1]); });
+    }
+    if (name == "explain" && words.size() == 1 && !options.path.empty()) {
+        call_question question{std::nullopt, options.method, options.path};
+        if (!options.service.empty()) {
+            question.service = service_name(options.service);
+        }
+        return with_files(words,
+                          [&](const arguments& texts) { return explain_call(texts[0], question); });
+    }
+    if (name == "status" && !words.empty()) {
+        return ask_nodes(words);
+    }
+    return {exit_failed, std::string(usage)};
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    table_options chosen;
+    option_set options("trefoil-table", "checks, compares and explains tables");
+    options.add_text("service", &chosen.service, "service of the call to explain", false);
+    options.add_text("method", &chosen.method, "method of the call to explain", false);
+    options.add_text("path", &chosen.path, "path of the call to explain", false);
+    return std::visit(overloaded{
+                          [&](const run_program& run) {
+                              const auto result = run_command(chosen, run.positional);
+                              fmt::print("{}", result.text);
+                              return result.exit_code;
+                          },
+                          [&](const show_help&) {
+                              fmt::print("{}\n{}", usage, options.help());
+                              return exit_good;
+                          },
+                          [](const show_version&) {
+                              fmt::print("trefoil-table {}\n", program_version);
+                              return exit_good;
+                          },
+                          [](const settings_refused& refused) {
+                              for (const auto& error : refused.errors) {
+                                  fmt::print(stderr, "{}\n", to_string(error));
+                              }
+                              return exit_bad_settings;
+                          },
+                      },
+                      options.parse(argc, argv));
+}
