--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -56,6 +56,8 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    pid_t pid() const { return pid_; }
+
     void signal(int number) const { ::kill(pid_, number); }
 
     bool is_running() {
@@ -203,10 +205,19 @@
         REQUIRE(exchange(operate_, request).has_value());
     }
 
+    /// Lines that every list has besides the site's own members.
+    void list_besides(std::string lines) { other_members_ = std::move(lines); }
+
     void publish_members(const std::vector<std::string>& leaving = {}) {
         publish("instances", member_text(leaving));
     }
 
+    /// Calls that the platform has counted so far.
+    std::string platform_calls() {
+        const auto answer = get(operate_, "/calls");
+        return answer ? answer->body : "";
+    }
+
     void set_platform_mode(const std::string& mode) {
         REQUIRE(get(operate_, "/mode/" + mode).has_value());
     }
@@ -302,7 +313,7 @@
     }
 
     std::string member_text(const std::vector<std::string>& leaving) const {
-        std::string text = std::string(member_header) + "\n";
+        std::string text = std::string(member_header) + "\n" + other_members_;
         for (const auto& [name, m] : members_) {
             const bool is_leaving =
                 std::find(leaving.begin(), leaving.end(), name) != leaving.end();
@@ -327,6 +338,7 @@
     endpoint platform_;
     endpoint operate_;
     std::map<std::string, site_member> members_;
+    std::string other_members_;
     std::map<std::string, std::map<std::string, endpoint>> addresses_;
     std::optional<child_process> platform_process_;
     std::map<std::string, child_process> nodes_;
