--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -45,7 +45,12 @@
                     outbound_.arrive_from_caller(run, std::move(request), once);
                 }),
           documents_({state_.settings.self, state_.settings.domain, state_.settings.region,
-                      state_.settings.seed, validate_document}) {}
+                      state_.settings.control_address, state_.settings.planned_nodes,
+                      state_.settings.seed,
+                      [this](document_id document, std::string_view text) {
+                          return parser_.check(document, text);
+                      },
+                      state_.settings.document_mechanisms}) {}
 
     actions start(time_point now) {
         state_.now = now;
@@ -231,19 +236,19 @@
     }
 
     void apply(const control_send& send) {
-        if (const auto* peer = state_.members.find(send.to)) {
-            state_.out.emplace_back(send_control{send.to, peer->control, send.message});
+        const auto* peer = state_.members.find(send.to);
+        const auto address = peer != nullptr ? peer->control : send.address;
+        if (!address.ip.empty()) {
+            state_.out.emplace_back(send_control{send.to, address, send.message});
         }
     }
 
     void apply(const document_changed& changed) {
         if (changed.document == document_id::table) {
-            auto parsed = parse_table(*changed.text);
-            state_.current = std::get<table>(std::move(parsed));
+            state_.current = parser_.take_table(*changed.text);
             return;
         }
-        auto parsed = parse_members(*changed.text);
-        state_.members.replace(std::get<std::vector<member>>(std::move(parsed)));
+        state_.members.replace(parser_.take_members(*changed.text));
         documents_.members_changed(state_.now, state_.members);
     }
 
@@ -301,6 +306,7 @@
     inbound_calls inbound_;
     outbound_calls outbound_;
     once_calls once_;
+    document_parser parser_;
     document_exchange documents_;
     std::optional<time_point> armed_;
     time_point stop_at_;
