Let targets leave and stop without new work, and wake from pauses with care

Cause: a stop sent a message to every member and never ended its announcement, so that an instance that came back under its name stayed unused; waiting calls were handed on for as long as the queue lasted; a node that woke late handed on calls in the order in which it read them, before their cancels and with their full time.

Waiting calls are handed on for 2 s after a stop and refused at once by a listed instance.

Ruled out: telling only callers of late, whose control addresses aren't part of a call.

The confirmation after a long gap has no test that fails without it yet.

--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -6,11 +6,14 @@
 #include <trefoil/admission/admission.hpp>
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
+#include <trefoil/membership/leaving_news.hpp>
 #include <trefoil/quarantine/quarantine.hpp>
 #include <trefoil/retry/retry_ledger.hpp>
 #include <trefoil/routing/load_reporter.hpp>
 #include <trefoil/routing/router.hpp>
 
+#include "pause_guard.hpp"
+
 namespace trefoil {
 
 /// State and output of one core. The parts keep their own calls and share the rest through this.
@@ -26,6 +29,8 @@
 
     std::optional<table> current;
     membership members;
+    leaving_news leaving;
+    pause_guard pause;
     admission admitter;
     quarantine gate;
     router route;
@@ -41,6 +46,31 @@
 
     bool is_leaving() const { return stop_was_requested || members.is_leaving(settings.self); }
 
+    /// When this instance was first known to leave.
+    std::optional<time_point> leaving_since;
+
+    /// Calls that waited when a stop was asked for are still handed to the target for this time.
+    static constexpr duration waiting_grace = 2s;
+
+    /// True once no waiting call may be handed to the target. The list lags, so that a listed
+    /// instance has had its time already.
+    bool must_refuse_waiting() const {
+        const auto grace = stop_was_requested ? waiting_grace : duration{0};
+        return leaving_since && now >= *leaving_since + grace;
+    }
+
+    /// Routes no more calls to the run of the instance. True if that is news.
+    bool announce_leaving(const instance_id& instance, incarnation_id run) {
+        if (instance == settings.self || members.find(instance) == nullptr) {
+            return false;
+        }
+        members.announce_leaving(instance);
+        return leaving.hear(now, instance, run);
+    }
+
+    /// When a call that is read now has to be assumed to have arrived.
+    time_point arrival() const { return pause.arrival(now); }
+
     void log(log_event event, std::vector<std::pair<std::string, std::string>> fields) {
         out.emplace_back(write_record{{event, std::move(fields)}});
     }
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -179,6 +179,12 @@
 
 void inbound_calls::advance() {
     time_out_in_flight();
+    if (state_.must_refuse_waiting()) {
+        refuse_waiting(refusal::leaving);
+    }
+    if (state_.pause.holds_hand_offs(state_.now)) {
+        return;
+    }
     apply_quarantine();
     for (const auto& change : state_.admitter.advance(state_.now)) {
         if (change.reason == refusal::none) {
@@ -189,6 +195,19 @@
     }
 }
 
+void inbound_calls::refuse_waiting(refusal reason) {
+    std::vector<call_id> waiting;
+    for (const auto& [call, entry] : calls_) {
+        if (!entry.is_in_flight()) {
+            waiting.push_back(call);
+        }
+    }
+    for (const auto call : waiting) {
+        state_.admitter.withdraw(call);
+        refuse(call, reason);
+    }
+}
+
 void inbound_calls::hand_to_target(call_id call) {
     auto& entry = calls_.at(call);
     entry.attempt = state_.next_attempt();
@@ -246,7 +265,8 @@
 }
 
 std::optional<time_point> inbound_calls::next_wake() const {
-    auto wake = state_.admitter.next_deadline();
+    const bool is_holding = state_.pause.holds_hand_offs(state_.now);
+    auto wake = is_holding ? std::nullopt : state_.admitter.next_deadline();
     if (!deadlines_.empty()) {
         const auto first = deadlines_.begin()->first;
         wake = wake ? std::min(*wake, first) : first;
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -73,6 +73,7 @@
     refusal enter(call_id call, const inbound_call& entry);
     refusal offer(call_id call, const inbound_call& entry);
     void apply_quarantine();
+    void refuse_waiting(refusal reason);
     void hand_to_target(call_id call);
     void finish_at_target(call_id call, const call_end& end, bool succeeded);
     void log_loss(const inbound_call& entry);
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -49,6 +49,7 @@
 
     actions start(time_point now) {
         state_.now = now;
+        state_.pause.start(now);
         state_.log(log_event::node_started, {{"instance", state_.settings.self.str()},
                                              {"service", state_.settings.service.str()},
                                              {"domain", state_.settings.domain.str()}});
@@ -58,8 +59,12 @@
 
     actions step(time_point now, const event& happened) {
         state_.now = now;
+        if (const auto gap = state_.pause.enter_step(now)) {
+            state_.log(log_event::clock_gap, {{"ms", fmt::format("{:.0f}", to_ms(*gap))}});
+        }
         expire();
         std::visit([this](const auto& e) { on(e); }, happened);
+        note_leaving();
         expire();
         check_stop();
         return finish_step();
@@ -83,18 +88,32 @@
 private:
     void on(const call_arrived& e) {
         if (e.from == listener::caller) {
-            if (!once_.arrive_from_caller(e.call, e.request)) {
-                outbound_.arrive_from_caller(e.call, e.request, false);
-            }
+            arrive_from_caller(e);
         } else if (e.from == listener::app) {
             arrive_from_app(e);
         } else if (e.context) {
-            inbound_.arrive(e.call, reply_to_listener{e.call}, e.request, *e.context);
+            auto context = *e.context;
+            context.remaining -= state_.now - state_.arrival();
+            inbound_.arrive(e.call, reply_to_listener{e.call}, e.request, std::move(context));
         } else {
             once_.arrive_from_peer(e.call, e.request);
         }
     }
 
+    // During a stop only requests that were begun before are served, or the process would never run
+    // out of calls.
+    void arrive_from_caller(const call_arrived& e) {
+        if (once_.arrive_from_caller(e.call, e.request)) {
+            return;
+        }
+        if (state_.stop_was_requested) {
+            state_.out.emplace_back(respond{
+                e.call, nullptr, refused(refusal::leaving, 0, state_.settings.incarnation), {}});
+            return;
+        }
+        outbound_.arrive_from_caller(e.call, e.request, false);
+    }
+
     void end_outbound(call_id call, const call_end& end) {
         if (once_calls::is_run(call)) {
             once_.run_ended(call, end);
@@ -154,23 +173,31 @@
 
     void on(const document_read& e) {
         apply(documents_.on_read(state_.now, e.document, e.at, e.text));
+        note_confirmation(e.document);
+    }
+    void on(const document_unchanged& e) {
+        apply(documents_.on_unchanged(state_.now, e.document));
+        note_confirmation(e.document);
     }
-    void on(const document_unchanged& e) { apply(documents_.on_unchanged(state_.now, e.document)); }
     void on(const platform_failed& e) {
         apply(documents_.on_platform_failed(state_.now, e.document));
     }
 
     void on(const control_received& e) {
-        std::visit(
-            overloaded{
-                [&](const leaving_notice& notice) {
-                    state_.members.announce_leaving(notice.instance);
-                },
-                [&](const suspect_notice& notice) { state_.gate.heard(state_.now, notice); },
-                [&](const cancel_notice&) {},
-                [&](const auto&) { apply(documents_.on_message(state_.now, e.from, e.message)); },
-            },
-            e.message);
+        std::visit(overloaded{
+                       [&](const leaving_notice& notice) {
+                           if (state_.announce_leaving(notice.instance, notice.incarnation)) {
+                               pass_on(notice);
+                           }
+                       },
+                       [&](const suspect_notice& notice) { state_.gate.heard(state_.now, notice); },
+                       [&](const cancel_notice&) {},
+                       [&](const auto& message) {
+                           apply(documents_.on_message(state_.now, e.from, e.message));
+                           note_digest(message);
+                       },
+                   },
+                   e.message);
     }
 
     void on(const stop_requested&) {
@@ -181,15 +208,50 @@
         state_.stop_was_requested = true;
         stop_at_ = state_.now + state_.settings.drain_limit;
         state_.log(log_event::node_stopping, {{"calls", std::to_string(calls())}});
-        for (const auto& peer : state_.members.all()) {
-            if (peer.instance != state_.settings.self) {
-                state_.out.emplace_back(send_control{
-                    peer.instance, peer.control,
-                    leaving_notice{state_.settings.self, state_.settings.incarnation}});
-            }
+        state_.members.announce_leaving(state_.settings.self);
+        pass_on(leaving_notice{state_.settings.self, state_.settings.incarnation});
+    }
+
+    // The news reaches the whole fleet, each node telling a few.
+    void pass_on(const leaving_notice& notice) {
+        for (const auto& peer :
+             news_neighbours(state_.members, state_.settings.self, state_.settings.domain)) {
+            state_.out.emplace_back(send_control{peer.instance, peer.control, notice});
+        }
+    }
+
+    void note_leaving() {
+        for (const auto& instance : state_.leaving.expire(state_.now)) {
+            state_.members.end_announcement(instance);
+        }
+        if (!state_.is_leaving()) {
+            state_.leaving_since.reset();
+        } else if (!state_.leaving_since) {
+            state_.leaving_since = state_.now;
+            state_.log(log_event::instance_leaving, {{"instance", state_.settings.self.str()}});
+        }
+    }
+
+    void note_confirmation(document_id document) {
+        if (document == document_id::instances) {
+            state_.pause.list_confirmed(state_.now);
         }
     }
 
+    // A neighbour that holds nothing newer confirms the list.
+    void note_digest(const document_digest& digest) {
+        if (digest.held <= documents_.status(digest.document).held) {
+            note_confirmation(digest.document);
+        }
+    }
+    void note_digest(const document_delta& delta) {
+        if (delta.to <= documents_.status(delta.document).held) {
+            note_confirmation(delta.document);
+        }
+    }
+    template <class Other>
+    void note_digest(const Other&) {}
+
     void on(const timer_fired&) {}
 
     std::size_t calls() const { return inbound_.size() + outbound_.size() + once_.size(); }
@@ -282,6 +344,10 @@
         consider(outbound_.next_wake());
         consider(documents_.next_wake());
         consider(state_.gate.next_wake());
+        consider(state_.pause.next_wake(state_.now));
+        if (state_.leaving_since && !state_.must_refuse_waiting()) {
+            consider(*state_.leaving_since + core_state::waiting_grace);
+        }
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
         }
--- a/libs/core/src/once_calls.cpp
+++ b/libs/core/src/once_calls.cpp
@@ -118,6 +118,9 @@
         return true;
     }
     const auto* end = joined_.end_of(digest);
+    if (end == nullptr && state_.stop_was_requested) {
+        return false;
+    }
     if (end == nullptr) {
         start(call, request, {0, std::move(digest)}, false);
         return true;
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -69,7 +69,7 @@
     entry.context.once = once || row.once;
     entry.request = std::move(request);
     entry.arrived = state_.now;
-    entry.deadline = state_.now + row.deadline;
+    entry.deadline = state_.arrival() + row.deadline;
     entry.is_edge = true;
     entry.max_bytes = row.max_bytes;
     entry.tokens = row.retries;
@@ -99,7 +99,7 @@
         entry.context.kind = row.kind;
         entry.context.priority = row.priority;
         entry.context.once = row.once;
-        entry.deadline = state_.now + row.deadline;
+        entry.deadline = state_.arrival() + row.deadline;
         entry.max_bytes = row.max_bytes;
     }
     entry.request = std::move(request);
@@ -121,6 +121,11 @@
 
 void outbound_calls::try_next(call_id call) {
     auto& entry = calls_.at(call);
+    if (state_.pause.is_reading(state_.now)) {
+        entry.retry_at = state_.pause.reading_until();
+        wakes_.emplace(*entry.retry_at, call);
+        return;
+    }
     entry.retry_at.reset();
     const auto suspected = suspicion_of(entry);
     if (suspected == suspicion::convicted) {
@@ -198,7 +203,7 @@
     entry.tokens += end.info.unused_tokens;
     state_.route.finished(state_.now, entry.instance, result, end.info.load);
     if (result == attempt_result::refused_leaving) {
-        state_.members.announce_leaving(entry.instance);
+        state_.announce_leaving(entry.instance, end.info.incarnation);
     }
     note_for_quarantine(entry, end.info);
     entry.last_end = end;
@@ -312,7 +317,10 @@
     if (entry.attempt.value != 0) {
         info.result = outcome::unknown;
         by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::timed_out, {});
+        // After a gap the time ran out here, whatever the instance did.
+        const auto result = state_.pause.is_reading(state_.now) ? attempt_result::withdrawn
+                                                                : attempt_result::timed_out;
+        state_.route.finished(state_.now, entry.instance, result, {});
         if (entry.instance == state_.settings.self) {
             cancel_local_(entry.attempt);
         } else {
--- a/libs/membership/include/trefoil/membership/membership.hpp
+++ b/libs/membership/include/trefoil/membership/membership.hpp
@@ -20,6 +20,9 @@
     /// Notes that an instance announced its leaving.
     void announce_leaving(const instance_id& instance);
 
+    /// Drops an announcement; the list alone counts again.
+    void end_announcement(const instance_id& instance);
+
     /// The members of a service, leaving ones included; empty for an unknown service.
     const std::vector<member>& of_service(const service_name& service) const;
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -18,6 +18,10 @@
     announced_leaving_.insert(instance);
 }
 
+void membership::end_announcement(const instance_id& instance) {
+    announced_leaving_.erase(instance);
+}
+
 const std::vector<member>& membership::of_service(const service_name& service) const {
     static const std::vector<member> none;
     const auto found = by_service_.find(service);
--- a/libs/routing/include/trefoil/routing/neighbours.hpp
+++ b/libs/routing/include/trefoil/routing/neighbours.hpp
@@ -18,4 +18,9 @@
 std::vector<member> nearest_of_service(const membership& members, const instance_id& self,
                                        const service_name& service, const location& here);
 
+/// Members that a node passes news for the whole fleet to: the next 4 on a ring of names in the own
+/// failure domain, and 2 elsewhere that a hash chooses for each node.
+std::vector<member> news_neighbours(const membership& members, const instance_id& self,
+                                    const domain_name& domain);
+
 } // namespace trefoil
--- a/libs/routing/src/neighbours.cpp
+++ b/libs/routing/src/neighbours.cpp
@@ -1,8 +1,18 @@
 #include <trefoil/routing/neighbours.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include <trefoil/base/hash.hpp>
 
 namespace trefoil {
+namespace {
+
+constexpr std::size_t news_in_domain = 4;
+constexpr std::size_t news_elsewhere = 2;
+
+} // namespace
 
 std::vector<member> nearest_of_service(const membership& members, const instance_id& self,
                                        const service_name& service, const location& here) {
@@ -29,4 +39,38 @@
     return near;
 }
 
+std::vector<member> news_neighbours(const membership& members, const instance_id& self,
+                                    const domain_name& domain) {
+    using ranked = std::pair<std::uint64_t, const member*>;
+    std::vector<const member*> near;
+    std::vector<ranked> far;
+    const auto own_hash = stable_hash(self.str());
+    for (const auto& entry : members.all()) {
+        if (entry.instance == self) {
+            continue;
+        }
+        if (entry.domain == domain) {
+            near.push_back(&entry);
+        } else {
+            far.emplace_back(mix_hash(own_hash, stable_hash(entry.instance.str())), &entry);
+        }
+    }
+    const auto near_count = std::min(news_in_domain, near.size());
+    const auto is_next = [&self](const member* a, const member* b) {
+        const bool a_wraps = a->instance < self;
+        const bool b_wraps = b->instance < self;
+        return a_wraps != b_wraps ? b_wraps : a->instance < b->instance;
+    };
+    const auto near_end = near.begin() + static_cast<std::ptrdiff_t>(near_count);
+    std::partial_sort(near.begin(), near_end, near.end(), is_next);
+    const auto far_count = std::min(news_elsewhere, far.size());
+    const auto far_end = far.begin() + static_cast<std::ptrdiff_t>(far_count);
+    std::partial_sort(far.begin(), far_end, far.end(),
+                      [](const ranked& a, const ranked& b) { return a.first < b.first; });
+    std::vector<member> chosen;
+    std::for_each(near.begin(), near_end, [&](const member* one) { chosen.push_back(*one); });
+    std::for_each(far.begin(), far_end, [&](const ranked& one) { chosen.push_back(*one.second); });
+    return chosen;
+}
+
 } // namespace trefoil
