Switch ejection, quarantine and the spill bound in experiments

Cause: every policy of the experiment ran with quarantine and ejection, so that its baselines were better than pass-through and the parts could not be judged one by one.

Changes of a held call's verdict no longer assume that the call is still there.

--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -83,10 +83,15 @@
 
 void inbound_calls::apply_quarantine() {
     for (const auto& change : state_.gate.take_changes(state_.now)) {
+        // The end of a former one may have ended others.
+        const auto found = calls_.find(change.call);
+        if (found == calls_.end()) {
+            continue;
+        }
         auto reason = refusal::none;
         switch (change.verdict) {
         case gate_verdict::pass:
-            reason = offer(change.call, calls_.at(change.call));
+            reason = offer(change.call, found->second);
             break;
         case gate_verdict::hold:
             state_.admitter.withdraw(change.call);
@@ -203,8 +208,10 @@
         }
     }
     for (const auto call : waiting) {
-        state_.admitter.withdraw(call);
-        refuse(call, reason);
+        if (calls_.contains(call)) {
+            state_.admitter.withdraw(call);
+            refuse(call, reason);
+        }
     }
 }
 
--- a/libs/experiment/include/trefoil/experiment/experiment.hpp
+++ b/libs/experiment/include/trefoil/experiment/experiment.hpp
@@ -29,6 +29,9 @@
     experiment_policy policy = experiment_policy::full;
     /// Switches of policy full.
     admission_policy parts;
+    bool ejection = true;
+    bool quarantine = true;
+    bool spill_bound = true;
     /// Factor on the normal rate during the trigger.
     double surge = 1;
     /// Services that are slow during the trigger, with the factor on their computations.
--- a/libs/experiment/src/run_experiment.cpp
+++ b/libs/experiment/src/run_experiment.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 /// Time for tables and lists to reach every node before callers start.
+/// Share of its calls that may leave a service's home tier where spill is not bounded.
+constexpr double unbounded_spill = 1000;
 constexpr duration settling_time = 3s;
 /// Shares of the run before the trigger and until its end.
 constexpr double trigger_begins = 0.25;
@@ -104,6 +106,11 @@
         member.core.admission.connections = service.connections;
         member.core.admission.policy = policy();
         member.core.admission.recovery_speed = plan_.recovery_speed;
+        const bool is_full = plan_.policy == experiment_policy::full;
+        member.core.routing.ejects = is_full && plan_.ejection;
+        member.core.routing.spill_share =
+            is_full && plan_.spill_bound ? routing_settings{}.spill_share : unbounded_spill;
+        member.core.quarantine.is_enabled = is_full && plan_.quarantine;
         member.target.slots = service.slots;
         member.target.backlog = service.connections - service.slots;
         member.target.cold_time = cold_time;
--- a/tools/trefoil-load/experiment_command.cpp
+++ b/tools/trefoil-load/experiment_command.cpp
@@ -54,7 +54,8 @@
     options.add_switch("platform-down", &f.platform_down, "no platform during the trigger");
     options.add_text("without", &f.without,
                      "PART,... of policy full to switch off: adaptive_limit, priority_order, "
-                     "deadline_refusal, level, chain_level, slow_start; - for none",
+                     "deadline_refusal, level, chain_level, slow_start, ejection, quarantine, "
+                     "spill_bound; - for none",
                      false);
     options.add_number("recovery-speed", &f.recovery_speed, 0, 1, "ratio",
                        "how fast a level falls after a trigger");
@@ -91,7 +92,8 @@
     return true;
 }
 
-bool read_parts(const std::string& text, admission_policy& parts) {
+bool read_parts(const std::string& text, experiment_plan& plan) {
+    auto& parts = plan.parts;
     for (const auto& name : split(text)) {
         bool* part = nullptr;
         if (name == "adaptive_limit") {
@@ -106,6 +108,12 @@
             part = &parts.chain_level;
         } else if (name == "slow_start") {
             part = &parts.slow_start;
+        } else if (name == "ejection") {
+            part = &plan.ejection;
+        } else if (name == "quarantine") {
+            part = &plan.quarantine;
+        } else if (name == "spill_bound") {
+            part = &plan.spill_bound;
         }
         if (part == nullptr) {
             return false;
@@ -178,7 +186,7 @@
         fmt::print(stderr, "--slow: allowed is SERVICE:FACTOR,...\n");
         return exit_bad_settings;
     }
-    if (!read_parts(f.without, plan.parts)) {
+    if (!read_parts(f.without, plan)) {
         fmt::print(stderr, "--without: see --help for the parts\n");
         return exit_bad_settings;
     }
