Bound the retries of a whole request over its call tree

The ledger holds the tokens of each call at the target; retries of its calls are paid from it directly, so that calls side by side share them, and only what goes down with a call is lent. A peer can give back no more than it was lent.

Calls that the application repeats are retries too: an equal call of the same parent after one that failed, was refused, was given up or has not ended takes a token and a part of the service's budget, or is refused. In a request that must not be repeated it is never sent after one that may have run. Equal reads in flight share one answer instead. A call that names a parent of an earlier run of the node, or one that is over, is refused: after a restart nobody knows which of its calls were retries, and nobody waits for the answer.

A budget for each service (a tenth of its successes, one a second, ten saved up) bounds what many requests add together. Refusals by an instance that is down or leaving are no load and cost none of it. Waits are full jitter over a bound that doubles from 20 to 200 ms.

A target that declares not_run has shed the call, unless it made calls for it.

--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -11,6 +11,8 @@
 #include <trefoil/membership/membership.hpp>
 #include <trefoil/once/kept_runs.hpp>
 #include <trefoil/quarantine/suspect_list.hpp>
+#include <trefoil/retry/retry_budget.hpp>
+#include <trefoil/retry/retry_ledger.hpp>
 #include <trefoil/routing/router.hpp>
 #include <trefoil/table/table.hpp>
 #include <trefoil/telemetry/call_metrics.hpp>
@@ -32,6 +34,9 @@
     /// Bounds of what is kept of requests that must not be repeated. A key may be used for the
     /// first time within the same lifetime after its issue.
     kept_limits kept_once;
+    /// How many retry tokens go down with a call.
+    lending lends = lending::by_fan_out;
+    retry_budget_settings retry_budget;
     admission_settings admission;
     routing_settings routing;
     quarantine_settings quarantine;
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -18,7 +18,8 @@
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
           gate(settings.quarantine, settings.incarnation.value),
-          route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
+          route({settings.domain, settings.region}, settings.routing), ledger(settings.lends),
+          budget(settings.retry_budget), random(settings.seed) {}
 
     core_settings settings;
     time_point now;
@@ -31,6 +32,7 @@
     router route;
     load_reporter load_reports;
     retry_ledger ledger;
+    retry_budget budget;
     call_metrics metrics;
     random_source random;
 
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -121,15 +121,24 @@
 }
 
 void inbound_calls::target_answered(attempt_id attempt, const answer_ptr& answer,
-                                    const answer_info&) {
+                                    const answer_info& declared) {
     const auto found = by_attempt_.find(attempt);
     if (found == by_attempt_.end()) {
         return;
     }
     const auto call = found->second;
+    // A target that has called others for it has run a part of it, whatever it declares.
+    if (declared.result == outcome::not_run && !state_.ledger.has_calls(call)) {
+        auto info =
+            refused(refusal::overload, state_.ledger.close(call), state_.settings.incarnation);
+        info.load = state_.admitter.load();
+        state_.gate.ended(state_.now, call, run_end::given_up);
+        finish_at_target(call, {nullptr, info}, false);
+        return;
+    }
     answer_info info;
     info.result = outcome::completed;
-    info.unused_tokens = state_.ledger.close(call);
+    info.unused_tokens = state_.ledger.retire(state_.now, call);
     info.incarnation = state_.settings.incarnation;
     info.load = state_.load_reports.take(state_.now, state_.admitter.load());
     constexpr int shed_status = 503;
@@ -180,6 +189,7 @@
 void inbound_calls::advance() {
     time_out_in_flight();
     apply_quarantine();
+    state_.ledger.expire(state_.now);
     for (const auto& change : state_.admitter.advance(state_.now)) {
         if (change.reason == refusal::none) {
             hand_to_target(change.call);
@@ -195,7 +205,7 @@
     entry.handed_at = state_.now;
     state_.gate.handed(state_.now, call);
     by_attempt_.emplace(entry.attempt, call);
-    state_.ledger.open(call, entry.context.retry_tokens);
+    state_.ledger.open(call, entry.context.retry_tokens, entry.context.kind);
     auto context = entry.context;
     context.remaining = entry.deadline - state_.now;
     context.parent_call = call;
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -42,7 +42,7 @@
     void abandon(call_id call);
     /// True if the attempt is one at the own target.
     bool owns(attempt_id attempt) const { return by_attempt_.contains(attempt); }
-    void target_answered(attempt_id attempt, const answer_ptr& answer, const answer_info& info);
+    void target_answered(attempt_id attempt, const answer_ptr& answer, const answer_info& declared);
     void target_failed(attempt_id attempt, attempt_failure failure);
     /// Hands on, refuses and times out what is due.
     void advance();
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -104,14 +104,24 @@
     }
 
     void arrive_from_app(const call_arrived& e) {
-        const call_context* parent = nullptr;
-        call_id parent_call;
-        if (e.context && e.context->parent_incarnation == state_.settings.incarnation) {
-            parent_call = e.context->parent_call;
-            parent = inbound_.context_of(parent_call);
+        outbound_.arrive_from_app(e.call, e.request, parent_of(e.context));
+    }
+
+    app_parent parent_of(const std::optional<call_context>& named) const {
+        if (!named) {
+            return no_parent{};
+        }
+        if (named->parent_incarnation != state_.settings.incarnation) {
+            return lost_parent{};
+        }
+        const auto call = named->parent_call;
+        if (const auto* context = inbound_.context_of(call)) {
+            return known_parent{call, *context, inbound_.deadline_of(call)};
+        }
+        if (state_.ledger.is_open(call)) {
+            return known_parent{call, *named, state_.now + named->remaining};
         }
-        const auto deadline = parent != nullptr ? inbound_.deadline_of(parent_call) : time_point{};
-        outbound_.arrive_from_app(e.call, e.request, parent, deadline, parent_call);
+        return lost_parent{};
     }
 
     void on(const call_abandoned& e) {
--- a/libs/core/src/once_calls.cpp
+++ b/libs/core/src/once_calls.cpp
@@ -5,8 +5,8 @@
 namespace trefoil {
 namespace {
 
-/// Ids of runs; above the shell's calls.
-constexpr std::uint64_t run_bit = 1ULL << 63U;
+/// Ids of runs; above those of all other calls.
+constexpr std::uint64_t run_bits = 3ULL << 62U;
 constexpr kept_limits joined_limits{30s, 10'000, 8'000'000};
 /// Time beyond the request's own deadline in which its owner's answer is awaited.
 constexpr duration owner_grace = 100ms;
@@ -20,7 +20,7 @@
       owned_(state.settings.kept_once), joined_(joined_limits) {}
 
 bool once_calls::is_run(call_id call) {
-    return (call.value & run_bit) != 0;
+    return (call.value & run_bits) == run_bits;
 }
 
 bool once_calls::arrive_from_caller(call_id call, const request_ptr& request) {
@@ -130,7 +130,7 @@
 }
 
 void once_calls::start(call_id call, const request_ptr& request, run_key key, bool once) {
-    const call_id run{++last_run_ | run_bit};
+    const call_id run{++last_run_ | run_bits};
     if (once) {
         owned_.begin(key.number);
         run_by_number_.emplace(key.number, run);
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -7,14 +7,15 @@
 namespace trefoil {
 namespace {
 
-/// Upper end of the random wait before a retry.
-constexpr duration retry_backoff = 20ms;
+/// Upper end of the random wait before the first retry; it doubles with each further one.
+constexpr duration first_retry_backoff = 20ms;
+constexpr duration max_retry_backoff = 200ms;
+constexpr int first_server_error = 500;
 
 /// A call that lost its connection so often may have crashed as many targets and is not sent again.
 constexpr std::uint32_t max_lost_attempts = 2;
 
 attempt_result result_of(const call_end& end) {
-    constexpr int first_server_error = 500;
     constexpr int shed_status = 503;
     const auto& info = end.info;
     if (info.result == outcome::completed) {
@@ -54,6 +55,26 @@
     }
 }
 
+/// Reasons that say that the call was no load for the service.
+bool is_free_of_load(refusal reason) {
+    return reason == refusal::target_down || reason == refusal::leaving;
+}
+
+bool reports_failure(int status) {
+    constexpr int request_timeout = 408;
+    constexpr int too_many_requests = 429;
+    return status >= first_server_error || status == request_timeout || status == too_many_requests;
+}
+
+call_result result_for_application(const call_end& end) {
+    if (end.info.result == outcome::not_run) {
+        return call_result::not_run;
+    }
+    const bool is_good =
+        end.info.result == outcome::completed && end.answer && !reports_failure(end.answer->status);
+    return is_good ? call_result::answered : call_result::failed;
+}
+
 } // namespace
 
 void outbound_calls::arrive_from_caller(call_id call, request_ptr request, bool once) {
@@ -72,40 +93,106 @@
     entry.deadline = state_.now + row.deadline;
     entry.is_edge = true;
     entry.max_bytes = row.max_bytes;
-    entry.tokens = row.retries;
+    entry.account = call;
+    state_.ledger.open(call, row.retries);
     ++state_.metrics.edge[row.kind].offered;
     begin(call, std::move(entry));
 }
 
-void outbound_calls::arrive_from_app(call_id call, request_ptr request, const call_context* parent,
-                                     time_point parent_deadline, call_id parent_call) {
+void outbound_calls::arrive_from_app(call_id call, request_ptr request, const app_parent& parent) {
     if (!state_.current) {
-        state_.out.emplace_back(
-            respond{call, nullptr, refused(refusal::no_table, 0, state_.settings.incarnation), {}});
+        refuse(call, refusal::no_table);
         return;
     }
+    if (const auto* known = std::get_if<known_parent>(&parent)) {
+        arrive_from_parent(call, std::move(request), *known);
+        return;
+    }
+    if (std::holds_alternative<lost_parent>(parent)) {
+        refuse(call, refusal::cancelled);
+        return;
+    }
+    const auto& row = state_.current->match(request->service, request->method, request->path);
     outbound_call entry;
     entry.arrived = state_.now;
-    if (parent != nullptr) {
-        entry.context = *parent;
-        ++entry.context.depth;
-        entry.deadline = parent_deadline;
-        entry.parent = parent_call;
-        entry.max_bytes = state_.current->row_or_default(parent->kind).max_bytes;
-        entry.tokens = state_.ledger.lend(parent_call);
-    } else {
-        const auto& row = state_.current->match(request->service, request->method, request->path);
-        entry.context.request = {state_.random(), state_.random()};
-        entry.context.kind = row.kind;
-        entry.context.priority = row.priority;
-        entry.context.once = row.once;
-        entry.deadline = state_.now + row.deadline;
-        entry.max_bytes = row.max_bytes;
+    entry.context.request = {state_.random(), state_.random()};
+    entry.context.kind = row.kind;
+    entry.context.priority = row.priority;
+    entry.context.once = row.once;
+    entry.deadline = state_.now + row.deadline;
+    entry.max_bytes = row.max_bytes;
+    entry.request = std::move(request);
+    begin(call, std::move(entry));
+}
+
+void outbound_calls::arrive_from_parent(call_id call, request_ptr request,
+                                        const known_parent& parent) {
+    const auto fingerprint = call_fingerprint(*request);
+    if (join_equal_read(call, *request, parent, fingerprint)) {
+        return;
     }
+    outbound_call entry;
+    entry.arrived = state_.now;
+    entry.context = parent.context;
+    ++entry.context.depth;
+    entry.deadline = parent.deadline;
+    entry.account = parent.call;
+    entry.fingerprint = fingerprint;
+    entry.max_bytes = state_.current->row_or_default(parent.context.kind).max_bytes;
     entry.request = std::move(request);
+    const auto repetition = state_.ledger.begin_call(parent.call, fingerprint);
+    if (const auto refused = refusal_of_repetition(entry, repetition)) {
+        state_.ledger.end_call(parent.call, fingerprint, call_result::not_run);
+        sink_(call, {nullptr, *refused});
+        return;
+    }
+    if (is_safe_method(entry.request->method)) {
+        reads_.begin(parent.call, fingerprint, call);
+    }
     begin(call, std::move(entry));
 }
 
+bool outbound_calls::join_equal_read(call_id call, const http_request& request,
+                                     const known_parent& parent, std::uint64_t fingerprint) {
+    const auto first = reads_.find(parent.call, fingerprint);
+    if (!first || !is_safe_method(request.method)) {
+        return false;
+    }
+    const auto& open = *calls_.at(*first).request;
+    const bool is_equal = open.service == request.service && open.method == request.method &&
+                          open.path == request.path && open.body == request.body;
+    if (is_equal) {
+        reads_.join(*first, call);
+    }
+    return is_equal;
+}
+
+std::optional<answer_info> outbound_calls::refusal_of_repetition(outbound_call& call,
+                                                                 call_repetition repetition) {
+    if (repetition == call_repetition::first) {
+        return std::nullopt;
+    }
+    auto info = refused(refusal::no_retry_tokens, 0, state_.settings.incarnation);
+    if (call.context.once && repetition == call_repetition::retry_of_possible_run) {
+        info.result = outcome::unknown;
+        return info;
+    }
+    if (!state_.ledger.spend(call.account)) {
+        return info;
+    }
+    if (!state_.budget.spend(state_.now, call.request->service)) {
+        state_.ledger.give_back(call.account, 1);
+        return info;
+    }
+    call.spent_budget = true;
+    ++state_.metrics.legs[call.context.kind].retries;
+    return std::nullopt;
+}
+
+void outbound_calls::refuse(call_id call, refusal reason) {
+    sink_(call, {nullptr, refused(reason, 0, state_.settings.incarnation)});
+}
+
 void outbound_calls::begin(call_id call, outbound_call entry) {
     const bool too_deep = entry.context.depth > max_depth;
     const bool too_large = entry.request->body.size() > entry.max_bytes;
@@ -126,6 +213,7 @@
     if (suspected == suspicion::convicted) {
         const call_end refusal_end{nullptr,
                                    refused(refusal::quarantined, 0, state_.settings.incarnation)};
+        state_.ledger.give_back(entry.account, entry.last_end ? 1 : 0);
         finish(call, entry.last_end.value_or(refusal_end));
         return;
     }
@@ -133,11 +221,12 @@
                                           entry.tried, state_.random);
     if (!chosen) {
         const call_end none{nullptr, refused(refusal::no_instance, 0, state_.settings.incarnation)};
+        state_.ledger.give_back(entry.account, entry.last_end ? 1 : 0);
         finish(call, entry.last_end.value_or(none));
         return;
     }
     if (entry.last_end) {
-        --entry.tokens;
+        ++entry.retries;
         ++state_.metrics.legs[entry.context.kind].retries;
     }
     entry.attempt = state_.next_attempt();
@@ -148,11 +237,8 @@
     auto context = entry.context;
     context.remaining = entry.deadline - state_.now;
     context.is_suspect = suspected.has_value() || entry.lost_attempts > 0;
-    // One token stays here, so that the loss of this attempt leaves one for a retry.
-    const std::uint32_t kept = std::min<std::uint32_t>(entry.tokens, 1);
-    entry.lent = entry.tokens - kept;
+    entry.lent = state_.ledger.lend(entry.account);
     context.retry_tokens = entry.lent;
-    entry.tokens = kept;
     if (chosen->instance == state_.settings.self) {
         start_local_(entry.attempt, entry.request, context);
         return;
@@ -195,7 +281,12 @@
     auto& entry = calls_.at(call);
     by_attempt_.erase(entry.attempt);
     entry.attempt = {};
-    entry.tokens += end.info.unused_tokens;
+    // A peer can't give back more than it was lent.
+    state_.ledger.give_back(entry.account, std::min(end.info.unused_tokens, entry.lent));
+    entry.lent = 0;
+    if (end.answer && end.answer->status < first_server_error) {
+        state_.budget.succeeded(state_.now, entry.request->service, entry.spent_budget);
+    }
     state_.route.finished(state_.now, entry.instance, result, end.info.load);
     if (result == attempt_result::refused_leaving) {
         state_.members.announce_leaving(entry.instance);
@@ -203,18 +294,32 @@
     note_for_quarantine(entry, end.info);
     entry.last_end = end;
     entry.may_have_run = entry.may_have_run || end.info.result == outcome::unknown;
-    if (may_retry(entry, end.info)) {
-        schedule_retry(call);
-    } else {
+    entry.spent_budget = false;
+    const auto retry_at = state_.now + retry_wait(entry);
+    if (retry_at >= entry.deadline || !pay_for_retry(entry, end.info)) {
         finish(call, end);
+        return;
     }
+    entry.retry_at = retry_at;
+    wakes_.emplace(retry_at, call);
 }
 
-bool outbound_calls::may_retry(const outbound_call& call, const answer_info& info) const {
+bool outbound_calls::pay_for_retry(outbound_call& call, const answer_info& info) {
     const bool may_run_again =
         info.result == outcome::not_run || (info.result == outcome::unknown && !call.context.once);
-    return may_run_again && call.tokens > 0 && another_instance_may_help(info.reason) &&
-           call.lost_attempts < max_lost_attempts && state_.now < call.deadline;
+    if (!may_run_again || !another_instance_may_help(info.reason) ||
+        call.lost_attempts >= max_lost_attempts || !state_.ledger.spend(call.account)) {
+        return false;
+    }
+    if (is_free_of_load(info.reason)) {
+        return true;
+    }
+    if (state_.budget.spend(state_.now, call.request->service)) {
+        call.spent_budget = true;
+        return true;
+    }
+    state_.ledger.give_back(call.account, 1);
+    return false;
 }
 
 void outbound_calls::note_for_quarantine(outbound_call& entry, const answer_info& info) {
@@ -243,12 +348,11 @@
     return state_.gate.state(state_.now, fingerprint_of(entry.context.kind, *entry.request));
 }
 
-void outbound_calls::schedule_retry(call_id call) {
-    auto& entry = calls_.at(call);
-    const auto jitter =
-        duration(static_cast<duration::rep>(state_.random.below(retry_backoff.count())));
-    entry.retry_at = state_.now + jitter;
-    wakes_.emplace(*entry.retry_at, call);
+duration outbound_calls::retry_wait(const outbound_call& call) {
+    const auto doubled = first_retry_backoff * (1U << std::min(call.retries, 10U));
+    const auto longest = std::min(doubled, max_retry_backoff);
+    return duration(static_cast<duration::rep>(
+        state_.random.below(static_cast<std::uint64_t>(longest.count()))));
 }
 
 void outbound_calls::finish(call_id call, call_end end) {
@@ -258,20 +362,29 @@
     if (entry.may_have_run && end.info.result == outcome::not_run) {
         end.info.result = outcome::unknown;
     }
-    end.info.unused_tokens = entry.tokens;
-    if (entry.parent.value != 0) {
-        state_.ledger.give_back(entry.parent, entry.tokens);
-    }
+    end.info.unused_tokens = 0;
+    settle(call, entry, result_for_application(end));
     if (entry.is_edge) {
         record_end(state_.metrics.edge[entry.context.kind], end.info,
                    end.answer ? end.answer->status : 0, state_.now - entry.arrived);
     }
-    sink_(call, end);
+    for (const auto waiting : reads_.end(entry.account, entry.fingerprint, call)) {
+        sink_(waiting, end);
+    }
 }
 
-void outbound_calls::abandon(call_id call) {
+void outbound_calls::settle(call_id call, const outbound_call& entry, call_result result) {
+    if (entry.account == call) {
+        state_.ledger.close(call);
+    } else if (entry.account.value != 0) {
+        state_.ledger.end_call(entry.account, entry.fingerprint, result);
+    }
+}
+
+void outbound_calls::abandon(call_id sender) {
+    const auto call = reads_.first_of(sender);
     const auto found = calls_.find(call);
-    if (found == calls_.end()) {
+    if (found == calls_.end() || !reads_.leave(sender)) {
         return;
     }
     auto& entry = found->second;
@@ -284,9 +397,8 @@
             state_.out.emplace_back(cancel_attempt{entry.attempt});
         }
     }
-    if (entry.parent.value != 0) {
-        state_.ledger.give_back(entry.parent, entry.tokens);
-    }
+    settle(call, entry, call_result::failed);
+    reads_.end(entry.account, entry.fingerprint, call);
     calls_.erase(found);
 }
 
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -5,7 +5,9 @@
 #include <functional>
 #include <unordered_map>
 
+#include "app_parent.hpp"
 #include "inbound_calls.hpp"
+#include "read_joins.hpp"
 
 namespace trefoil {
 
@@ -25,10 +27,9 @@
     /// A caller's request: the table gives its context. With `once` it must not be repeated, even
     /// if the table in force allows it.
     void arrive_from_caller(call_id call, request_ptr request, bool once);
-    /// A call of the own target; `parent` is the call that it belongs to, or null.
-    void arrive_from_app(call_id call, request_ptr request, const call_context* parent,
-                         time_point parent_deadline, call_id parent_call);
-    void abandon(call_id call);
+    /// A call of the own target.
+    void arrive_from_app(call_id call, request_ptr request, const app_parent& parent);
+    void abandon(call_id sender);
     bool has(call_id call) const { return calls_.contains(call); }
     void attempt_answered(attempt_id attempt, const call_end& end);
     void attempt_failed(attempt_id attempt, attempt_failure failure);
@@ -43,17 +44,21 @@
         call_context context;
         time_point arrived;
         time_point deadline;
-        /// The call in flight at the own target that this one belongs to; 0 for callers.
-        call_id parent;
+        /// The account in the ledger that retries are paid from: the call in flight at the own
+        /// target that this one belongs to, or this call itself for a caller's; 0 without one.
+        call_id account;
         bool is_edge = false;
+        /// Hash of the request; only for calls of a known parent.
+        std::uint64_t fingerprint = 0;
         std::uint64_t max_bytes = 0;
-        /// Tokens in hand: neither lent to an attempt nor spent.
-        std::uint32_t tokens = 0;
         /// Tokens that the open attempt was given.
         std::uint32_t lent = 0;
         attempt_id attempt;
         instance_id instance;
         std::vector<instance_id> tried;
+        std::uint32_t retries = 0;
+        /// True if the attempt to come or in flight was paid for from the service's budget.
+        bool spent_budget = false;
         /// True once an attempt ended without saying that it did not run.
         bool may_have_run = false;
         /// Attempts that were lost with their connection.
@@ -63,15 +68,26 @@
         std::optional<call_end> last_end;
     };
 
+    void arrive_from_parent(call_id call, request_ptr request, const known_parent& parent);
+    bool join_equal_read(call_id call, const http_request& request, const known_parent& parent,
+                         std::uint64_t fingerprint);
+    /// Pays for a call that repeats one of the application's; none if it may be sent.
+    std::optional<answer_info> refusal_of_repetition(outbound_call& call,
+                                                     call_repetition repetition);
+    void refuse(call_id call, refusal reason);
     void begin(call_id call, outbound_call entry);
     void try_next(call_id call);
     void attempt_ended(call_id call, const call_end& end, attempt_result result);
-    bool may_retry(const outbound_call& call, const answer_info& info) const;
-    void schedule_retry(call_id call);
+    /// Takes what a retry costs; false if it may not be made.
+    bool pay_for_retry(outbound_call& call, const answer_info& info);
+    /// The random wait before the next retry.
+    duration retry_wait(const outbound_call& call);
     /// Tells the quarantine how an attempt ended.
     void note_for_quarantine(outbound_call& entry, const answer_info& info);
     std::optional<suspicion> suspicion_of(const outbound_call& entry) const;
     void finish(call_id call, call_end end);
+    /// Tells the ledger how the call ended.
+    void settle(call_id call, const outbound_call& entry, call_result result);
     void time_out(call_id call);
 
     core_state& state_;
@@ -81,6 +97,7 @@
     std::unordered_map<call_id, outbound_call> calls_;
     std::unordered_map<attempt_id, call_id> by_attempt_;
     std::multimap<time_point, call_id> wakes_;
+    read_joins reads_;
 };
 
 } // namespace trefoil
--- a/libs/core/tests/small_site.hpp
+++ b/libs/core/tests/small_site.hpp
@@ -12,18 +12,21 @@
 
 /// A fleet whose runs at targets are counted by instance.
 struct small_site {
-    explicit small_site(const work_by_service& work = {}, std::uint64_t seed = 1)
-        : fleet(
-              network_settings{},
-              [work](const service_name& service, const std::string&) {
-                  const auto found = work.find(service.str());
-                  return found == work.end() ? service_work{10ms, {}, false} : found->second;
-              },
-              seed) {
+    explicit small_site(const work_by_service& work = {}) : small_site(work_of(work), 1) {}
+
+    small_site(fake_target::work_of work, std::uint64_t seed)
+        : fleet(network_settings{}, std::move(work), seed) {
         fleet.observe_runs([this](const instance_id& instance, const http_request&,
                                   const call_context&) { ++runs[instance.str()]; });
     }
 
+    static fake_target::work_of work_of(const work_by_service& work) {
+        return [work](const service_name& service, const std::string&) {
+            const auto found = work.find(service.str());
+            return found == work.end() ? service_work{10ms, {}, false} : found->second;
+        };
+    }
+
     fleet_member& add(const std::string& name, const std::string& service,
                       const std::string& domain = "d1") {
         fleet_member member;
--- a/libs/emulator/include/trefoil/emulator/fake_target.hpp
+++ b/libs/emulator/include/trefoil/emulator/fake_target.hpp
@@ -41,7 +41,7 @@
 /// How a target behaves.
 struct target_settings {
     std::uint32_t slots = 10;
-    /// Requests it holds beyond its slots before it sheds with status 503.
+    /// Requests it holds beyond its slots before it sheds with status 503, declared as not run.
     std::uint32_t backlog = 100;
     /// Factor on every computation; above 1 it is slow.
     double slowness = 1.0;
--- a/libs/emulator/src/fake_target.cpp
+++ b/libs/emulator/src/fake_target.cpp
@@ -38,7 +38,8 @@
     } else if (backlog_.size() < settings_.backlog) {
         backlog_.push_back(work);
     } else {
-        done_(attempt, make_answer(shed_status, ""));
+        done_(attempt, std::make_shared<const http_answer>(
+                           http_answer{shed_status, {{"trefoil-outcome", "not_run"}}, ""}));
     }
 }
 
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -14,6 +14,14 @@
 constexpr duration timer_slack = 100us;
 constexpr int refused_status = 503;
 
+answer_info declared_info(const http_answer& answer) {
+    answer_info info;
+    const bool was_shed =
+        answer.headers == std::vector<http_header>{{"trefoil-outcome", "not_run"}};
+    info.result = was_shed ? outcome::not_run : outcome::completed;
+    return info;
+}
+
 } // namespace
 
 struct virtual_fleet::node {
@@ -82,7 +90,7 @@
                 return;
             }
             if (answer) {
-                deliver(at, at->run, attempt_answered{attempt, answer, {}});
+                deliver(at, at->run, attempt_answered{attempt, answer, declared_info(*answer)});
             } else {
                 deliver(at, at->run, attempt_failed{attempt, attempt_failure::connection_lost});
             }
