--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -249,11 +249,14 @@
     }
 
     /// Sends without waiting; `done` is called while the loop runs.
-    void send(const std::string& name, const http_request& request,
-              http_client::done_handler done) {
-        client_->send(address(name, "caller"), request, {}, std::move(done));
+    http_client::request_id send(const std::string& name, const http_request& request,
+                                 http_client::done_handler done) {
+        return client_->send(address(name, "caller"), request, {}, std::move(done));
     }
 
+    /// Closes the connection of a request that was sent.
+    void cancel(http_client::request_id sent) { client_->cancel(sent); }
+
     void run_loop_once() { uv_run(loop_, UV_RUN_ONCE); }
 
     /// Runs the loop until the condition holds. Fails after a limit that no working system needs.
