Say unknown for a key that is not the caller's

A caller whose credentials changed between two sends of one key got key_invalid with not_run, although the first send may have run: it would have asked for a new key and run the request twice. Which request ran can't be told from a key whose code doesn't fit, so the outcome is unknown.

--- a/libs/core/src/once_calls.cpp
+++ b/libs/core/src/once_calls.cpp
@@ -71,7 +71,8 @@
         return;
     }
     if (!mint_.verify(key, *request)) {
-        refuse(call, outcome::not_run, refusal::key_invalid);
+        // The key may have been used with other credentials of the same caller.
+        refuse(call, outcome::unknown, refusal::key_invalid);
         return;
     }
     if (const auto running = run_by_number_.find(key.number); running != run_by_number_.end()) {
