Withdraw the calls of a parent that is lost

When a call in flight at the target was abandoned, timed out or lost, the calls that the target had made for it went on until the target closed them, which one that ignores the cancellation never does. Now they are ended with the parent, down the whole chain. The new test fails without it.

--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -48,6 +48,9 @@
     }
 
     std::uint64_t last_attempt = 0;
+    /// Calls in flight at the target that ended without an answer since the last look: what the
+    /// target called for them is no longer wanted.
+    std::vector<call_id> lost_parents;
 };
 
 /// A refusal before any target ran any part of the call.
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -113,6 +113,7 @@
         state_.out.emplace_back(cancel_attempt{entry.attempt});
         by_attempt_.erase(entry.attempt);
         state_.ledger.close(call);
+        state_.lost_parents.push_back(call);
         state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, false});
     } else {
         state_.admitter.withdraw(call);
@@ -153,6 +154,7 @@
         return;
     }
     const auto call = found->second;
+    state_.lost_parents.push_back(call);
     answer_info info =
         refused(reason_of(failure), state_.ledger.close(call), state_.settings.incarnation);
     if (failure != attempt_failure::not_sent) {
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -207,6 +207,11 @@
     void expire() {
         outbound_.advance();
         inbound_.advance();
+        while (!state_.lost_parents.empty()) {
+            const auto parent = state_.lost_parents.back();
+            state_.lost_parents.pop_back();
+            outbound_.withdraw_calls_of(parent);
+        }
         once_.advance();
         apply(documents_.advance(state_.now));
     }
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -149,6 +149,7 @@
     if (is_safe_method(entry.request->method)) {
         reads_.begin(parent.call, fingerprint, call);
     }
+    by_parent_.emplace(parent.call, call);
     begin(call, std::move(entry));
 }
 
@@ -378,6 +379,7 @@
         state_.ledger.close(call);
     } else if (entry.account.value != 0) {
         state_.ledger.end_call(entry.account, entry.fingerprint, result);
+        by_parent_.erase({entry.account, call});
     }
 }
 
@@ -389,13 +391,7 @@
     }
     auto& entry = found->second;
     if (entry.attempt.value != 0) {
-        by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::withdrawn, {});
-        if (entry.instance == state_.settings.self) {
-            cancel_local_(entry.attempt);
-        } else {
-            state_.out.emplace_back(cancel_attempt{entry.attempt});
-        }
+        stop_attempt(entry, attempt_result::withdrawn);
     }
     settle(call, entry, call_result::failed);
     reads_.end(entry.account, entry.fingerprint, call);
@@ -411,29 +407,44 @@
             continue;
         }
         if (found->second.deadline <= state_.now) {
-            time_out(call);
+            give_up(call, refusal::deadline, attempt_result::timed_out);
         } else if (found->second.retry_at && *found->second.retry_at <= state_.now) {
             try_next(call);
         }
     }
 }
 
-void outbound_calls::time_out(call_id call) {
+void outbound_calls::give_up(call_id call, refusal reason, attempt_result result) {
     auto& entry = calls_.at(call);
-    auto info = refused(refusal::deadline, 0, state_.settings.incarnation);
+    auto info = refused(reason, 0, state_.settings.incarnation);
     if (entry.attempt.value != 0) {
         info.result = outcome::unknown;
-        by_attempt_.erase(entry.attempt);
-        state_.route.finished(state_.now, entry.instance, attempt_result::timed_out, {});
-        if (entry.instance == state_.settings.self) {
-            cancel_local_(entry.attempt);
-        } else {
-            state_.out.emplace_back(cancel_attempt{entry.attempt});
-        }
+        stop_attempt(entry, result);
     }
     finish(call, {nullptr, info});
 }
 
+void outbound_calls::stop_attempt(const outbound_call& entry, attempt_result result) {
+    by_attempt_.erase(entry.attempt);
+    state_.route.finished(state_.now, entry.instance, result, {});
+    if (entry.instance == state_.settings.self) {
+        cancel_local_(entry.attempt);
+    } else {
+        state_.out.emplace_back(cancel_attempt{entry.attempt});
+    }
+}
+
+void outbound_calls::withdraw_calls_of(call_id parent) {
+    std::vector<call_id> calls;
+    for (auto at = by_parent_.lower_bound({parent, call_id{}});
+         at != by_parent_.end() && at->first == parent; ++at) {
+        calls.push_back(at->second);
+    }
+    for (const auto call : calls) {
+        give_up(call, refusal::cancelled, attempt_result::withdrawn);
+    }
+}
+
 std::optional<time_point> outbound_calls::next_wake() const {
     return wakes_.empty() ? std::nullopt : std::optional(wakes_.begin()->first);
 }
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <unordered_map>
 
 #include "app_parent.hpp"
@@ -30,6 +31,8 @@
     /// A call of the own target.
     void arrive_from_app(call_id call, request_ptr request, const app_parent& parent);
     void abandon(call_id sender);
+    /// Ends all calls of a parent whose own end nobody waits for any more.
+    void withdraw_calls_of(call_id parent);
     bool has(call_id call) const { return calls_.contains(call); }
     void attempt_answered(attempt_id attempt, const call_end& end);
     void attempt_failed(attempt_id attempt, attempt_failure failure);
@@ -88,7 +91,9 @@
     void finish(call_id call, call_end end);
     /// Tells the ledger how the call ended.
     void settle(call_id call, const outbound_call& entry, call_result result);
-    void time_out(call_id call);
+    /// Ends a call from here, its attempt in flight included.
+    void give_up(call_id call, refusal reason, attempt_result result);
+    void stop_attempt(const outbound_call& entry, attempt_result result);
 
     core_state& state_;
     local_start start_local_;
@@ -98,6 +103,8 @@
     std::unordered_map<attempt_id, call_id> by_attempt_;
     std::multimap<time_point, call_id> wakes_;
     read_joins reads_;
+    /// Parent and call, for calls of the own target.
+    std::set<std::pair<call_id, call_id>> by_parent_;
 };
 
 } // namespace trefoil
--- a/libs/core/tests/retry_test.cpp
+++ b/libs/core/tests/retry_test.cpp
@@ -167,6 +167,26 @@
     CHECK(site.runs["b1"] == 0);
 }
 
+TEST_CASE("a request that its caller withdraws is withdrawn all the way down") {
+    small_site site({{"front", {5ms, {{service_name("middle"), "POST", "/m"}}, false}},
+                     {"middle", {5ms, {{service_name("back"), "POST", "/b"}}, false}},
+                     {"back", {500ms, {{service_name("last"), "POST", "/l"}}, false}}});
+    for (const std::string service : {"front", "middle", "back", "last"}) {
+        site.add(service, service);
+    }
+    site.start("");
+    site.send("front", "front");
+    site.run_for(100ms);
+    CHECK(site.runs["back"] == 1);
+    site.fleet.withdraw(site.last_submission);
+    site.run_for(50ms);
+    for (const auto& member : site.members) {
+        CHECK(site.fleet.core(member.core.self).status().calls == 0);
+    }
+    site.run_for(3s);
+    CHECK(site.runs["last"] == 0);
+}
+
 TEST_CASE("many requests together retry a failing service only within its budget") {
     small_site site({{"busy", {50ms, {}, false}}});
     site.add("edge", "edge");
