--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -21,7 +21,8 @@
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
           gate(settings.quarantine, settings.incarnation.value),
-          route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
+          route({settings.domain, settings.region}, settings.routing), ledger(settings.lends),
+          budget(settings.retry_budget), random(settings.seed) {}
 
     core_settings settings;
     time_point now;
@@ -36,6 +37,7 @@
     router route;
     load_reporter load_reports;
     retry_ledger ledger;
+    retry_budget budget;
     call_metrics metrics;
     random_source random;
 
@@ -76,6 +78,9 @@
     }
 
     std::uint64_t last_attempt = 0;
+    /// Calls in flight at the target that ended without an answer since the last look: what the
+    /// target called for them is no longer wanted.
+    std::vector<call_id> lost_parents;
 };
 
 /// A refusal before any target ran any part of the call.
