Set an admission level under pressure and carry it back in answers

Change: a threshold over positions from what is offered and finished, and heard levels at the edge and before hand-off.

--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <trefoil/admission/admission_level.hpp>
 #include <trefoil/admission/concurrency_limit.hpp>
 #include <trefoil/admission/service_times.hpp>
 #include <trefoil/base/ids.hpp>
@@ -135,6 +136,7 @@
 
     std::uint32_t queue_limit() const;
     std::uint32_t limit() const;
+    void note_state(time_point now);
     bool kind_is_full(const admission_request& request) const;
     bool is_too_late(time_point now, const admission_request& request) const;
     queue::iterator take(queue::iterator at, refusal reason, std::vector<admission_change>& out);
@@ -146,6 +148,7 @@
     admission_settings settings_;
     concurrency_limit limit_;
     service_times service_times_;
+    admission_level level_;
     queue queue_;
     std::set<deadline_key> deadlines_;
     std::unordered_map<call_id, queue_key> keys_;
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -9,7 +9,8 @@
 
 admission::admission(admission_settings settings)
     : settings_(settings), limit_(std::min(settings.slots, settings.connections),
-                                  settings.policy.adaptive_limit, settings.policy.slow_start) {}
+                                  settings.policy.adaptive_limit, settings.policy.slow_start),
+      level_(settings.recovery_speed) {}
 
 refusal admission::offer(time_point now, const admission_request& request) {
     if (!target_is_up_) {
@@ -18,6 +19,10 @@
     if (request.kind_limit == 0) {
         return refusal::kind_limit;
     }
+    level_.offered(request.position);
+    if (request.position >= threshold()) {
+        return refusal::level;
+    }
     if (is_too_late(now, request)) {
         return refusal::deadline;
     }
@@ -42,6 +47,7 @@
     refuse_late(now, changes);
     hand_on(now, changes);
     shorten(changes);
+    note_state(now);
     return changes;
 }
 
@@ -97,6 +103,7 @@
         return;
     }
     const auto kind = found->second;
+    level_.finished();
     if (result.succeeded) {
         limit_.succeeded(static_cast<std::uint32_t>(in_flight_.size()));
         service_times_.record(now, kind, result.service_time);
@@ -127,7 +134,7 @@
 }
 
 std::uint32_t admission::threshold() const {
-    return admit_all;
+    return settings_.policy.level ? level_.threshold() : admit_all;
 }
 
 load_report admission::load() const {
@@ -142,6 +149,11 @@
     return deadlines_.begin()->first + duration{1};
 }
 
+void admission::note_state(time_point now) {
+    level_.update(now, {static_cast<std::uint32_t>(in_flight_.size()),
+                        static_cast<std::uint32_t>(queue_.size()), limit()});
+}
+
 std::uint32_t admission::limit() const {
     return settings_.policy.limit ? limit_.current() : std::numeric_limits<std::uint32_t>::max();
 }
--- /dev/null
+++ b/libs/admission/src/chain_levels.cpp
@@ -0,0 +1,77 @@
+#include <trefoil/admission/chain_levels.hpp>
+
+#include <algorithm>
+
+#include <trefoil/admission/admission_position.hpp>
+
+namespace trefoil {
+namespace {
+
+constexpr duration report_interval = 250ms;
+/// A level that was heard this long ago begins to rise.
+constexpr duration hold_time = 500ms;
+/// From then on it rises by this many positions a second.
+constexpr double probe_positions = positions_per_priority;
+
+} // namespace
+
+void heard_levels::hear(time_point now, call_side side, const service_name& service,
+                        const kind_level& level) {
+    auto& levels = side == call_side::first_leg ? first_leg_ : below_;
+    levels[level.kind][service] = {level.threshold, now};
+}
+
+std::uint32_t heard_levels::risen(time_point now, const heard_level& level) {
+    const auto age = now - level.at;
+    if (age <= hold_time) {
+        return level.threshold;
+    }
+    const double rise = to_seconds(age - hold_time) * probe_positions;
+    return static_cast<std::uint32_t>(std::min<double>(level.threshold + rise, admit_all));
+}
+
+std::uint32_t heard_levels::first_leg_threshold(time_point now, const service_name& service,
+                                                const std::string& kind) const {
+    const auto levels = first_leg_.find(kind);
+    if (levels == first_leg_.end()) {
+        return admit_all;
+    }
+    const auto found = levels->second.find(service);
+    return found == levels->second.end() ? admit_all : risen(now, found->second);
+}
+
+std::uint32_t heard_levels::threshold_below(time_point now, const std::string& kind) const {
+    std::uint32_t lowest = admit_all;
+    const auto levels = below_.find(kind);
+    if (levels != below_.end()) {
+        for (const auto& entry : levels->second) {
+            lowest = std::min(lowest, risen(now, entry.second));
+        }
+    }
+    return lowest;
+}
+
+void level_reports::called(incarnation_id peer, const std::string& kind, std::uint32_t priority) {
+    const auto [at, is_new] = peers_[peer].kinds.try_emplace(kind);
+    at->second.priority = priority;
+    if (is_new) {
+        at->second.told = (priority + 1) * positions_per_priority;
+    }
+}
+
+bool level_reports::is_due(time_point now, incarnation_id peer) const {
+    const auto found = peers_.find(peer);
+    return found != peers_.end() &&
+           (!found->second.was_told || now - found->second.told_at >= report_interval);
+}
+
+std::uint32_t level_reports::within(std::uint32_t priority, std::uint32_t threshold) {
+    const auto first = priority * positions_per_priority;
+    return std::clamp(threshold, first, first + positions_per_priority);
+}
+
+bool level_reports::admits_all(std::uint32_t priority, std::uint32_t threshold) {
+    return threshold >= (priority + 1) * positions_per_priority;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/core/src/chain_observer.cpp
@@ -0,0 +1,72 @@
+#include "chain_observer.hpp"
+
+#include <algorithm>
+
+#include <trefoil/base/overloaded.hpp>
+
+namespace trefoil {
+
+void chain_observer::before(const event& happened) {
+    std::visit(overloaded{
+                   [&](const call_arrived& e) { see(e); },
+                   [&](const call_abandoned& e) { peer_calls_.erase(e.call); },
+                   [&](const attempt_answered& e) { see(e); },
+                   [&](const attempt_failed& e) { peer_attempts_.erase(e.attempt); },
+                   [](const auto&) {},
+               },
+               happened);
+}
+
+void chain_observer::see(const call_arrived& arrived) {
+    if (arrived.from != listener::peer || !arrived.context) {
+        return;
+    }
+    peer_calls_[arrived.call] = arrived.sender;
+    reports_.called(arrived.sender, arrived.context->kind, arrived.context->priority);
+}
+
+void chain_observer::see(const attempt_answered& answered) {
+    const auto found = peer_attempts_.find(answered.attempt);
+    if (found == peer_attempts_.end()) {
+        return;
+    }
+    for (const auto& level : answered.info.levels) {
+        state_.chain.hear(state_.now, found->second.side, found->second.service, level);
+    }
+    peer_attempts_.erase(found);
+}
+
+void chain_observer::after(actions& todo) {
+    for (auto& what : todo) {
+        if (auto* answer = std::get_if<respond>(&what)) {
+            add_levels(*answer);
+        } else if (const auto* attempt = std::get_if<start_attempt>(&what)) {
+            if (std::holds_alternative<peer_destination>(attempt->to) && attempt->context) {
+                const auto side =
+                    attempt->context->depth == 0 ? call_side::first_leg : call_side::below;
+                peer_attempts_[attempt->attempt] = {attempt->request->service, side};
+            }
+        } else if (const auto* cancelled = std::get_if<cancel_attempt>(&what)) {
+            peer_attempts_.erase(cancelled->attempt);
+        }
+    }
+}
+
+void chain_observer::add_levels(respond& answer) {
+    const auto found = peer_calls_.find(answer.call);
+    if (found == peer_calls_.end()) {
+        return;
+    }
+    if (reports_.is_due(state_.now, found->second)) {
+        answer.info.levels =
+            reports_.report(state_.now, found->second,
+                            [this](const std::string& kind) { return threshold_of(kind); });
+    }
+    peer_calls_.erase(found);
+}
+
+std::uint32_t chain_observer::threshold_of(const std::string& kind) const {
+    return std::min(state_.admitter.threshold(), state_.chain.threshold_below(state_.now, kind));
+}
+
+} // namespace trefoil
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include <trefoil/admission/admission.hpp>
+#include <trefoil/admission/chain_levels.hpp>
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
 #include <trefoil/quarantine/quarantine.hpp>
@@ -28,6 +29,7 @@
     membership members;
     admission admitter;
     quarantine gate;
+    heard_levels chain;
     router route;
     load_reporter load_reports;
     retry_ledger ledger;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -58,7 +58,11 @@
     if (call.request->body.size() > row.max_bytes) {
         return refusal::too_large;
     }
-    return refusal::none;
+    const auto position = admission_position(call.context.priority, call.context.request);
+    const bool is_shed_below =
+        state_.settings.admission.policy.chain_level &&
+        position >= state_.chain.threshold_below(state_.now, call.context.kind);
+    return is_shed_below ? refusal::chain_level : refusal::none;
 }
 
 refusal inbound_calls::enter(call_id call, const inbound_call& entry) {
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -7,6 +7,7 @@
 #include <trefoil/membership/member_list.hpp>
 #include <trefoil/routing/neighbours.hpp>
 
+#include "chain_observer.hpp"
 #include "core_state.hpp"
 #include "document_rules.hpp"
 #include "inbound_calls.hpp"
@@ -58,6 +59,7 @@
 
     actions step(time_point now, const event& happened) {
         state_.now = now;
+        chain_.before(happened);
         expire();
         std::visit([this](const auto& e) { on(e); }, happened);
         expire();
@@ -292,6 +294,7 @@
         if (armed_ && *armed_ <= state_.now) {
             armed_.reset();
         }
+        chain_.after(state_.out);
         actions out;
         out.swap(state_.out);
         return out;
@@ -302,6 +305,7 @@
     outbound_calls outbound_;
     once_calls once_;
     document_exchange documents_;
+    chain_observer chain_{state_};
     std::optional<time_point> armed_;
     time_point stop_at_;
     bool has_exited_ = false;
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <trefoil/admission/admission_position.hpp>
 #include <trefoil/wire/codec.hpp>
 
 namespace trefoil {
@@ -109,6 +110,7 @@
 void outbound_calls::begin(call_id call, outbound_call entry) {
     const bool too_deep = entry.context.depth > max_depth;
     const bool too_large = entry.request->body.size() > entry.max_bytes;
+    const bool is_shed = entry.is_edge && is_shed_below(entry);
     wakes_.emplace(entry.deadline, call);
     calls_.emplace(call, std::move(entry));
     if (too_deep || too_large) {
@@ -116,9 +118,20 @@
         finish(call, {nullptr, refused(reason, 0, state_.settings.incarnation)});
         return;
     }
+    if (is_shed) {
+        finish(call, {nullptr, refused(refusal::chain_level, 0, state_.settings.incarnation)});
+        return;
+    }
     try_next(call);
 }
 
+bool outbound_calls::is_shed_below(const outbound_call& call) const {
+    const auto position = admission_position(call.context.priority, call.context.request);
+    return state_.settings.admission.policy.chain_level &&
+           position >= state_.chain.first_leg_threshold(state_.now, call.request->service,
+                                                        call.context.kind);
+}
+
 void outbound_calls::try_next(call_id call) {
     auto& entry = calls_.at(call);
     entry.retry_at.reset();
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -64,6 +64,8 @@
     };
 
     void begin(call_id call, outbound_call entry);
+    /// True if the first leg would be refused for its level at or below the service.
+    bool is_shed_below(const outbound_call& call) const;
     void try_next(call_id call);
     void attempt_ended(call_id call, const call_end& end, attempt_result result);
     bool may_retry(const outbound_call& call, const answer_info& info) const;
