Put the level by remembered demand and the target's capacity

Cause: the level followed the calls finished in a window. Change: demand is counted by priority and scaled by the share that upstream lets through; what can't be seen is remembered with a half-life. Capacity is the limit over the mean service time. A level that is not heard again rises from its own place, so that important kinds probe first.

--- a/libs/admission/include/trefoil/admission/chain_levels.hpp
+++ b/libs/admission/include/trefoil/admission/chain_levels.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <trefoil/admission/admission_position.hpp>
 #include <trefoil/base/ids.hpp>
 #include <trefoil/base/time.hpp>
 #include <trefoil/wire/call_context.hpp>
@@ -20,7 +21,7 @@
 /// not heard again rises by itself, so that a few requests probe whether the shortage is over.
 class heard_levels {
 public:
-    /// Takes in what an answer of the service said. `priority` is that of the kind's requests.
+    /// Takes in what an answer of the service said.
     void hear(time_point now, call_side side, const service_name& service,
               const kind_level& level);
 
@@ -61,8 +62,8 @@
         std::vector<kind_level> told;
         auto& entry = peers_[peer];
         for (auto& [kind, state] : entry.kinds) {
-            const auto threshold = within(state.priority, threshold_of(kind));
-            if (threshold != state.told || !admits_all(state.priority, threshold)) {
+            const auto threshold = without_need(state.priority, threshold_of(kind));
+            if (threshold != state.told || threshold < admit_all) {
                 told.push_back({kind, threshold});
                 state.told = threshold;
             }
@@ -83,7 +84,7 @@
 
     struct kind_state {
         std::uint32_t priority = 0;
-        std::uint32_t told = 0;
+        std::uint32_t told = admit_all;
     };
     struct peer_state {
         std::map<std::string, kind_state> kinds;
@@ -91,8 +92,8 @@
         bool was_told = false;
     };
 
-    static std::uint32_t within(std::uint32_t priority, std::uint32_t threshold);
-    static bool admits_all(std::uint32_t priority, std::uint32_t threshold);
+    /// The threshold, or admit_all if it is above all requests of the priority.
+    static std::uint32_t without_need(std::uint32_t priority, std::uint32_t threshold);
 
     std::unordered_map<incarnation_id, peer_state> peers_;
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -103,7 +103,7 @@
         return;
     }
     const auto kind = found->second;
-    level_.finished();
+    level_.finished(result.service_time);
     if (result.succeeded) {
         limit_.succeeded(static_cast<std::uint32_t>(in_flight_.size()));
         service_times_.record(now, kind, result.service_time);
@@ -150,8 +150,7 @@
 }
 
 void admission::note_state(time_point now) {
-    level_.update(now, {static_cast<std::uint32_t>(in_flight_.size()),
-                        static_cast<std::uint32_t>(queue_.size()), limit()});
+    level_.update(now, {static_cast<std::uint32_t>(queue_.size()), limit()});
 }
 
 std::uint32_t admission::limit() const {
--- a/libs/admission/src/admission_level.cpp
+++ b/libs/admission/src/admission_level.cpp
@@ -1,90 +1,130 @@
 #include <trefoil/admission/admission_level.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace trefoil {
 namespace {
 
 constexpr duration window_length = 100ms;
 /// Time that the queue may take to run off.
-constexpr duration tolerated_sojourn = 20ms;
-/// Weight of the newest window in running means.
-constexpr float newest_weight = 0.3F;
+constexpr duration tolerated_sojourn = 50ms;
+/// Windows that a threshold takes to show its effect in what is offered here.
+constexpr std::size_t settling_windows = 6;
+constexpr int onset_windows = 3;
 /// Windows in which the queue's excess is meant to run off.
-constexpr double drain_windows = 4;
-/// With at least this share of the limit in use the threshold stays.
-constexpr double full_use = 0.95;
-/// Lowest used share that the rise is computed from.
-constexpr double least_use = 0.1;
-/// After a long silence this many windows are enough to forget all pressure.
+constexpr double drain_windows = 10;
+/// Weight of the newest window in the running means of demand.
+constexpr double newest_weight = 0.15;
+/// The same in the first windows of pressure, when demand has just changed.
+constexpr double newest_weight_at_onset = 0.5;
+/// Weight of the newest call in the running mean of service times.
+constexpr double newest_call_weight = 1.0 / 16;
+/// The demand of a priority is seen if at least this share of it is let through.
+constexpr double least_visible_share = 0.125;
+/// Half-lives of the remembered demand, in windows, at recovery speed 0 and 1.
+constexpr double slowest_half_life = 40;
+constexpr double fastest_half_life = 2;
+/// After this many windows without a call all pressure is forgotten.
 constexpr int longest_silence = 100;
 
+std::size_t priority_of(std::uint32_t position) {
+    return position / positions_per_priority;
+}
+
 } // namespace
 
+admission_level::admission_level(double recovery_speed) {
+    const double half_life =
+        slowest_half_life * std::pow(fastest_half_life / slowest_half_life, recovery_speed);
+    memory_ = std::exp2(-1.0 / half_life);
+}
+
 void admission_level::offered(std::uint32_t position) {
-    const auto bucket = std::min<std::size_t>(position / bucket_width, bucket_count - 1);
-    offered_now_[bucket] += 1;
+    const auto priority = std::min(priority_of(position), priorities - 1);
+    window_.offered[priority] += 1;
+    window_.offered_below[priority] += position < settled_ ? 1 : 0;
+}
+
+void admission_level::finished(duration service_time) {
+    const auto took = static_cast<double>(service_time.count());
+    service_time_ += service_time_ == 0 ? took : newest_call_weight * (took - service_time_);
 }
 
 void admission_level::update(time_point now, const admission_state& state) {
     if (now - window_.since > longest_silence * window_length) {
-        window_ = {now, 0, 0, 0};
-        threshold_ = admit_all;
-        updated_at_ = now;
+        set_threshold(admit_all);
+        demand_.fill(0);
+        window_ = {};
+        window_.since = now;
     }
     while (now - window_.since >= window_length) {
         const auto end = window_.since + window_length;
-        add_time(end);
         close_window(end);
     }
-    add_time(now);
     state_ = state;
     window_.least_queued = std::min(window_.least_queued, state.queued);
 }
 
-void admission_level::add_time(time_point until) {
-    const double used = std::min(1.0, static_cast<double>(state_.in_flight) / state_.limit);
-    window_.used_time += used * static_cast<double>((until - updated_at_).count());
-    updated_at_ = until;
-}
-
 void admission_level::close_window(time_point end) {
-    finished_mean_ += newest_weight * (window_.finished - finished_mean_);
-    for (std::size_t i = 0; i < bucket_count; ++i) {
-        offered_[i] += newest_weight * (offered_now_[i] - offered_[i]);
-    }
-    offered_now_.fill(0);
-    const double tolerated = finished_mean_ * to_seconds(tolerated_sojourn) /
-                             to_seconds(window_length);
+    const double tolerated = capacity() * to_seconds(tolerated_sojourn) / to_seconds(window_length);
     const double excess = window_.least_queued - tolerated;
-    const double used = window_.used_time / static_cast<double>(window_length.count());
-    if (window_.least_queued > 0 && excess > 0) {
-        lower(excess / drain_windows);
-    } else if (used < full_use && threshold_ < admit_all) {
-        raise(used);
+    const bool has_pressure = window_.least_queued > 0 && excess > 0;
+    estimate_demand(has_pressure);
+    if (is_limiting() || has_pressure) {
+        const double drain = has_pressure ? excess / drain_windows : 0;
+        set_threshold(threshold_for(std::max(capacity() - drain, 0.0)));
     }
-    window_ = {end, 0, state_.queued, 0};
+    window_ = {};
+    window_.since = end;
+    window_.least_queued = state_.queued;
 }
 
-void admission_level::lower(double calls_to_shed) {
-    double left = std::max(finished_mean_ - calls_to_shed, 0.0);
-    std::size_t bucket = 0;
-    while (bucket < bucket_count && offered_[bucket] <= left) {
-        left -= offered_[bucket];
-        ++bucket;
+void admission_level::estimate_demand(bool has_pressure) {
+    windows_under_pressure_ = has_pressure ? windows_under_pressure_ + 1 : 0;
+    const bool is_onset = has_pressure && windows_under_pressure_ <= onset_windows;
+    const double weight = is_onset ? newest_weight_at_onset : newest_weight;
+    for (std::size_t i = 0; i < priorities; ++i) {
+        const double share = visible_share(i);
+        if (share >= least_visible_share) {
+            demand_[i] += weight * (window_.offered_below[i] / share - demand_[i]);
+        } else {
+            const double risen = demand_[i] + weight * (window_.offered[i] - demand_[i]);
+            demand_[i] = std::max(demand_[i] * memory_, risen);
+        }
     }
-    if (bucket == bucket_count) {
-        return;
+}
+
+double admission_level::visible_share(std::size_t priority) const {
+    const auto first = static_cast<double>(priority * positions_per_priority);
+    return std::clamp((settled_ - first) / positions_per_priority, 0.0, 1.0);
+}
+
+std::uint32_t admission_level::threshold_for(double calls) const {
+    for (std::size_t i = 0; i < priorities; ++i) {
+        if (demand_[i] > calls) {
+            const double position = static_cast<double>(i) + calls / demand_[i];
+            return static_cast<std::uint32_t>(position * positions_per_priority);
+        }
+        calls -= demand_[i];
     }
-    const auto part = static_cast<std::uint32_t>(left / offered_[bucket] * bucket_width);
-    const auto wanted = static_cast<std::uint32_t>(bucket) * bucket_width + part;
-    threshold_ = std::min(threshold_, std::max(wanted, 1U));
+    return admit_all;
 }
 
-void admission_level::raise(double used) {
-    const double idle_ratio = 1.0 / std::max(used, least_use) - 1.0;
-    const double step = std::max(threshold_ * idle_ratio * recovery_speed_, 1.0);
-    threshold_ = static_cast<std::uint32_t>(std::min<double>(threshold_ + step, admit_all));
+void admission_level::set_threshold(std::uint32_t threshold) {
+    threshold_ = threshold;
+    former_.push_back(threshold);
+    if (former_.size() > settling_windows) {
+        former_.pop_front();
+    }
+    settled_ = *std::min_element(former_.begin(), former_.end());
+}
+
+double admission_level::capacity() const {
+    if (service_time_ <= 0) {
+        return state_.limit;
+    }
+    return state_.limit * static_cast<double>(window_length.count()) / service_time_;
 }
 
 } // namespace trefoil
--- a/libs/admission/src/chain_levels.cpp
+++ b/libs/admission/src/chain_levels.cpp
@@ -1,8 +1,7 @@
 #include <trefoil/admission/chain_levels.hpp>
 
 #include <algorithm>
-
-#include <trefoil/admission/admission_position.hpp>
+#include <cmath>
 
 namespace trefoil {
 namespace {
@@ -10,8 +9,9 @@
 constexpr duration report_interval = 250ms;
 /// A level that was heard this long ago begins to rise.
 constexpr duration hold_time = 500ms;
-/// From then on it rises by this many positions a second.
-constexpr double probe_positions = positions_per_priority;
+/// From then on it has risen by this many positions, and twice as many after each rise time.
+constexpr double first_rise = 64;
+constexpr duration rise_time = 250ms;
 
 } // namespace
 
@@ -26,7 +26,8 @@
     if (age <= hold_time) {
         return level.threshold;
     }
-    const double rise = to_seconds(age - hold_time) * probe_positions;
+    const double doublings = to_seconds(age - hold_time) / to_seconds(rise_time);
+    const double rise = first_rise * std::exp2(doublings);
     return static_cast<std::uint32_t>(std::min<double>(level.threshold + rise, admit_all));
 }
 
@@ -52,11 +53,7 @@
 }
 
 void level_reports::called(incarnation_id peer, const std::string& kind, std::uint32_t priority) {
-    const auto [at, is_new] = peers_[peer].kinds.try_emplace(kind);
-    at->second.priority = priority;
-    if (is_new) {
-        at->second.told = (priority + 1) * positions_per_priority;
-    }
+    peers_[peer].kinds[kind].priority = priority;
 }
 
 bool level_reports::is_due(time_point now, incarnation_id peer) const {
@@ -65,13 +62,8 @@
            (!found->second.was_told || now - found->second.told_at >= report_interval);
 }
 
-std::uint32_t level_reports::within(std::uint32_t priority, std::uint32_t threshold) {
-    const auto first = priority * positions_per_priority;
-    return std::clamp(threshold, first, first + positions_per_priority);
-}
-
-bool level_reports::admits_all(std::uint32_t priority, std::uint32_t threshold) {
-    return threshold >= (priority + 1) * positions_per_priority;
+std::uint32_t level_reports::without_need(std::uint32_t priority, std::uint32_t threshold) {
+    return threshold >= (priority + 1) * positions_per_priority ? admit_all : threshold;
 }
 
 } // namespace trefoil
