--- a/libs/admission/include/trefoil/admission/chain_levels.hpp
+++ b/libs/admission/include/trefoil/admission/chain_levels.hpp
@@ -22,8 +22,7 @@
 class heard_levels {
 public:
     /// Takes in what an answer of the service said.
-    void hear(time_point now, call_side side, const service_name& service,
-              const kind_level& level);
+    void hear(time_point now, call_side side, const service_name& service, const kind_level& level);
 
     /// The threshold for first legs of the kind at the service.
     std::uint32_t first_leg_threshold(time_point now, const service_name& service,
--- a/libs/admission/src/concurrency_limit.cpp
+++ b/libs/admission/src/concurrency_limit.cpp
@@ -24,10 +24,11 @@
 }
 
 void concurrency_limit::succeeded(std::uint32_t in_flight) {
-    if (limit_ >= highest_ || in_flight < limit_ * used_share) {
+    const bool is_slow_start = limit_ < slow_start_end_;
+    if (!is_slow_start && in_flight < limit_ * used_share) {
         return;
     }
-    limit_ += limit_ < slow_start_end_ ? 1.0 : 1.0 / limit_;
+    limit_ += is_slow_start ? 1.0 : 1.0 / limit_;
     limit_ = std::min(limit_, highest_);
 }
 
