--- a/libs/admission/src/admission_level.cpp
+++ b/libs/admission/src/admission_level.cpp
@@ -12,6 +12,9 @@
 /// Windows that a threshold takes to show its effect in what is offered here.
 constexpr std::size_t settling_windows = 6;
 constexpr int onset_windows = 3;
+/// Windows of pressure, one after the other, before the threshold leaves its highest place: a
+/// shorter burst runs off by itself.
+constexpr int patience_windows = 2;
 /// Windows in which the queue's excess is meant to run off.
 constexpr double drain_windows = 10;
 /// Weight of the newest window in the running means of demand.
@@ -71,7 +74,7 @@
     const double excess = window_.least_queued - tolerated;
     const bool has_pressure = window_.least_queued > 0 && excess > 0;
     estimate_demand(has_pressure);
-    if (is_limiting() || has_pressure) {
+    if (is_limiting() || windows_under_pressure_ >= patience_windows) {
         const double drain = has_pressure ? excess / drain_windows : 0;
         set_threshold(threshold_for(std::max(capacity() - drain, 0.0)));
     }
