--- a/libs/node/include/trefoil/node/node_settings.hpp
+++ b/libs/node/include/trefoil/node/node_settings.hpp
@@ -22,6 +22,7 @@
     std::uint64_t slots = 64;
     std::uint64_t connections = 256;
     double queue_per_slot = 1.0;
+    double recovery_speed = admission_settings{}.recovery_speed;
     duration drain_limit = 30s;
     std::uint64_t max_body_bytes = 16'000'000;
     bool check_only = false;
