Tell a target's overload from cancelled calls and errors further down

Cause: calls that were cancelled or ran out of time lowered the limit of a target that was not at fault, and quick error answers shortened the time that a kind was expected to take. The emulated targets of experiments kept the slots of cancelled calls. Change: a call's end is typed; only shedding and failing lower the limit, only whole answers count as service times. Emulated targets can accept cancellation, as the platform's do.

--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -81,12 +81,25 @@
     friend bool operator==(const admission_change&, const admission_change&) = default;
 };
 
+/// What the end of a call says of its target.
+enum class service_end : std::uint8_t {
+    /// A whole answer.
+    answered,
+    /// An answer that reports an error of the application, perhaps of a service further down.
+    errored,
+    /// The target shed the call.
+    shed,
+    /// The target took no connection, lost one or gave no whole answer.
+    failed,
+    /// The call was cancelled or its deadline passed, which says nothing of the target.
+    given_up,
+};
+
 /// How a call that was handed to the target ended.
 struct service_result {
     /// Time between hand-off and end.
     duration service_time{0};
-    /// False if the target failed, shed the call or gave no whole answer.
-    bool succeeded = true;
+    service_end end = service_end::answered;
 
     friend bool operator==(const service_result&, const service_result&) = default;
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -104,11 +104,18 @@
     }
     const auto kind = found->second;
     level_.finished(result.service_time);
-    if (result.succeeded) {
+    switch (result.end) {
+    case service_end::answered:
         limit_.succeeded(static_cast<std::uint32_t>(in_flight_.size()));
         service_times_.record(now, kind, result.service_time);
-    } else {
+        break;
+    case service_end::shed:
+    case service_end::failed:
         limit_.overloaded(now);
+        break;
+    case service_end::errored:
+    case service_end::given_up:
+        break;
     }
     in_flight_.erase(found);
     --in_flight_by_kind_[kind];
--- a/libs/admission/tests/admission_test.cpp
+++ b/libs/admission/tests/admission_test.cpp
@@ -42,8 +42,9 @@
         return calls;
     }
 
-    void finish(call_id call, duration took = 10ms, bool succeeded = true) {
-        admitter.finished(now, call, {took, succeeded});
+    void finish(call_id call, duration took = 10ms,
+                service_end end = service_end::answered) {
+        admitter.finished(now, call, {took, end});
     }
 };
 
@@ -150,12 +151,23 @@
     for (int i = 0; i < 100; ++i) {
         const auto call = at.offer(0);
         CHECK(at.handed_on().size() == 1);
-        at.finish(call, 1ms, false);
+        at.finish(call, 1ms, service_end::shed);
         at.now += 200ms;
     }
     CHECK(at.admitter.load().limit == 1);
 }
 
+TEST_CASE("cancelled calls and errors of services further down leave the limit alone") {
+    bench at;
+    for (const auto end : {service_end::given_up, service_end::errored}) {
+        const auto call = at.offer(0);
+        CHECK(at.handed_on().size() == 1);
+        at.finish(call, 1ms, end);
+        at.now += 200ms;
+    }
+    CHECK(at.admitter.load().limit == slots);
+}
+
 TEST_CASE("without the limit every call is handed on at once") {
     auto settings = small_target();
     settings.policy = no_admission;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -23,6 +23,15 @@
     return refusal::connection_lost;
 }
 
+service_end service_end_of(int status) {
+    constexpr int shed_status = 503;
+    constexpr int first_error_status = 500;
+    if (status == shed_status) {
+        return service_end::shed;
+    }
+    return status >= first_error_status ? service_end::errored : service_end::answered;
+}
+
 } // namespace
 
 void inbound_calls::arrive(call_id call, reply_address reply, request_ptr request,
@@ -117,7 +126,7 @@
         state_.out.emplace_back(cancel_attempt{entry.attempt});
         by_attempt_.erase(entry.attempt);
         state_.ledger.close(call);
-        state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, false});
+        state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, service_end::given_up});
     } else {
         state_.admitter.withdraw(call);
     }
@@ -136,10 +145,10 @@
     info.unused_tokens = state_.ledger.close(call);
     info.incarnation = state_.settings.incarnation;
     info.load = state_.load_reports.take(state_.now, state_.admitter.load());
-    constexpr int shed_status = 503;
-    const bool was_run = answer->status != shed_status;
+    const auto seen = service_end_of(answer->status);
+    const bool was_run = seen != service_end::shed;
     state_.gate.ended(state_.now, call, was_run ? run_end::completed : run_end::given_up);
-    finish_at_target(call, {answer, info}, was_run);
+    finish_at_target(call, {answer, info}, seen);
 }
 
 void inbound_calls::target_failed(attempt_id attempt, attempt_failure failure) {
@@ -157,13 +166,15 @@
         state_.gate.ended(state_.now, call, run_end::lost);
         log_loss(calls_.at(call));
     }
-    finish_at_target(call, {nullptr, info}, false);
+    const bool says_nothing = failure == attempt_failure::timed_out;
+    finish_at_target(call, {nullptr, info},
+                     says_nothing ? service_end::given_up : service_end::failed);
 }
 
-void inbound_calls::finish_at_target(call_id call, const call_end& end, bool succeeded) {
+void inbound_calls::finish_at_target(call_id call, const call_end& end, service_end seen) {
     auto& entry = calls_.at(call);
     by_attempt_.erase(entry.attempt);
-    state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, succeeded});
+    state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, seen});
     this->end(call, end);
 }
 
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -74,7 +74,7 @@
     refusal offer(call_id call, const inbound_call& entry);
     void apply_quarantine();
     void hand_to_target(call_id call);
-    void finish_at_target(call_id call, const call_end& end, bool succeeded);
+    void finish_at_target(call_id call, const call_end& end, service_end seen);
     void log_loss(const inbound_call& entry);
     void refuse(call_id call, refusal reason);
     void end(call_id call, const call_end& end);
--- a/libs/emulator/include/trefoil/emulator/fake_target.hpp
+++ b/libs/emulator/include/trefoil/emulator/fake_target.hpp
@@ -49,6 +49,8 @@
     duration cold_time{0};
     /// Times that the target's own library repeats a failed child call.
     std::uint32_t app_retries = 0;
+    /// A cancelled request ends at once and frees its slot; without it it goes on to its end.
+    bool accepts_cancel = false;
     /// Time from a crash until it accepts requests again.
     duration restart_time = 500ms;
 };
@@ -79,7 +81,7 @@
 
     /// Takes a request over. A request whose path holds "crash" ends the target's process.
     void serve(attempt_id attempt, request_ptr request, const call_context& context);
-    /// The node closed the connection: work goes on to its end, but nobody hears of it.
+    /// The node closed the connection: nobody hears of the request any more.
     void cancel(attempt_id attempt);
     /// Ends the process: every request in it is lost.
     void crash();
@@ -102,6 +104,7 @@
         std::string body;
         bool failed = false;
         bool is_cancelled = false;
+        bool has_ended = false;
     };
     using job_ptr = std::shared_ptr<job>;
 
@@ -110,6 +113,7 @@
     void make_child(const job_ptr& work, std::size_t index, std::uint32_t tries_left);
     void child_done(const job_ptr& work, int status, const std::string& body);
     void finish(const job_ptr& work);
+    void leave_slot(const job_ptr& work);
     void account(const job& work);
     duration compute_time(const service_work& work);
 
--- a/libs/emulator/src/fake_target.cpp
+++ b/libs/emulator/src/fake_target.cpp
@@ -55,7 +55,7 @@
         return;
     }
     clock_.after(compute_time(work->work), [this, work, process = process_] {
-        if (process == process_) {
+        if (process == process_ && !work->has_ended) {
             make_children(work);
         }
     });
@@ -96,7 +96,7 @@
     call_out_(std::make_shared<const http_request>(std::move(request)), work->context,
               [this, work, index, tries_left, process = process_](int status, const answer_info&,
                                                                   const std::string& body) {
-                  if (process != process_) {
+                  if (process != process_ || work->has_ended) {
                       return;
                   }
                   if (status != ok_status && tries_left > 0) {
@@ -129,14 +129,19 @@
 }
 
 void fake_target::finish(const job_ptr& work) {
-    account(*work);
-    running_.erase(work->attempt);
     if (!work->is_cancelled) {
         done_(work->attempt,
               work->failed ? make_answer(child_failed_status, "")
                            : make_answer(ok_status, "(" + service_.str() + " " +
                                                         work->request->body + work->body + ")"));
     }
+    leave_slot(work);
+}
+
+void fake_target::leave_slot(const job_ptr& work) {
+    account(*work);
+    work->has_ended = true;
+    running_.erase(work->attempt);
     while (!backlog_.empty() && running_.size() < settings_.slots) {
         const auto next = backlog_.front();
         backlog_.pop_front();
@@ -147,7 +152,11 @@
 void fake_target::cancel(attempt_id attempt) {
     const auto found = running_.find(attempt);
     if (found != running_.end()) {
-        found->second->is_cancelled = true;
+        const auto work = found->second;
+        work->is_cancelled = true;
+        if (settings_.accepts_cancel) {
+            leave_slot(work);
+        }
         return;
     }
     std::erase_if(backlog_, [&](const job_ptr& work) { return work->attempt == attempt; });
--- a/libs/experiment/src/run_experiment.cpp
+++ b/libs/experiment/src/run_experiment.cpp
@@ -107,6 +107,7 @@
         member.target.slots = service.slots;
         member.target.backlog = service.connections - service.slots;
         member.target.cold_time = cold_time;
+        member.target.accepts_cancel = true;
         member.target.app_retries =
             plan_.policy == experiment_policy::none ? retries_of_none : plan_.app_retry;
         return member;
