Let one setting rule how soon refused demand is tried again

Cause: recovery took 1.0 to 2.8 s after a slow target, since the mean service time followed single calls, and levels that were not heard again were probed after a fixed time; that time, it showed, is the trade itself.

--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -51,9 +51,10 @@
     std::uint32_t connections = 1;
     /// Calls that may wait, as a multiple of the slots.
     double queue_per_slot = 1.0;
-    /// How fast the threshold rises again when there is no pressure, from 0 (slowly, which keeps
-    /// more goodput under lasting overload) to 1 (fast, which returns to normal sooner).
-    double recovery_speed = 0.5;
+    /// How soon refused demand is forgotten and levels that are not heard again are probed, from 0
+    /// (late, which sheds more strictly in order and wastes less) to 1 (soon, which returns to
+    /// normal sooner).
+    double recovery_speed = 0.6;
     admission_policy policy = {};
 
     friend bool operator==(const admission_settings&, const admission_settings&) = default;
--- a/libs/admission/include/trefoil/admission/admission_level.hpp
+++ b/libs/admission/include/trefoil/admission/admission_level.hpp
@@ -10,8 +10,9 @@
 
 namespace trefoil {
 
-/// State of the queue at one moment.
+/// State of the queue and the target at one moment.
 struct admission_state {
+    std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 1;
 
@@ -52,11 +53,17 @@
     struct window {
         time_point since;
         std::uint32_t least_queued = 0;
+        std::uint32_t finished = 0;
+        /// Sum over the finished calls, in microseconds.
+        double service_time = 0;
+        /// Integral of the used share of the limit, in microseconds.
+        double used_time = 0;
         /// Calls offered, and those of them below the settled threshold.
         by_priority offered{};
         by_priority offered_below{};
     };
 
+    void add_time(time_point until);
     void close_window(time_point end);
     void estimate_demand(bool has_pressure);
     std::uint32_t threshold_for(double calls) const;
@@ -72,6 +79,7 @@
     std::uint32_t settled_ = admit_all;
     std::deque<std::uint32_t> former_;
     admission_state state_;
+    time_point updated_at_;
     window window_;
     /// Calls a window that would be offered if nothing were refused.
     by_priority demand_{};
--- a/libs/admission/include/trefoil/admission/chain_levels.hpp
+++ b/libs/admission/include/trefoil/admission/chain_levels.hpp
@@ -21,6 +21,9 @@
 /// not heard again rises by itself, so that a few requests probe whether the shortage is over.
 class heard_levels {
 public:
+    /// `recovery_speed` is between 0 and 1, see admission_settings.
+    explicit heard_levels(double recovery_speed);
+
     /// Takes in what an answer of the service said.
     void hear(time_point now, call_side side, const service_name& service, const kind_level& level);
 
@@ -38,8 +41,9 @@
     };
     using levels_by_service = std::map<service_name, heard_level>;
 
-    static std::uint32_t risen(time_point now, const heard_level& level);
+    std::uint32_t risen(time_point now, const heard_level& level) const;
 
+    duration hold_{0};
     std::unordered_map<std::string, levels_by_service> first_leg_;
     std::unordered_map<std::string, levels_by_service> below_;
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -157,7 +157,8 @@
 }
 
 void admission::note_state(time_point now) {
-    level_.update(now, {static_cast<std::uint32_t>(queue_.size()), limit()});
+    level_.update(now, {static_cast<std::uint32_t>(in_flight_.size()),
+                        static_cast<std::uint32_t>(queue_.size()), limit()});
 }
 
 std::uint32_t admission::limit() const {
--- a/libs/admission/src/admission_level.cpp
+++ b/libs/admission/src/admission_level.cpp
@@ -21,8 +21,13 @@
 constexpr double newest_weight = 0.15;
 /// The same in the first windows of pressure, when demand has just changed.
 constexpr double newest_weight_at_onset = 0.5;
-/// Weight of the newest call in the running mean of service times.
-constexpr double newest_call_weight = 1.0 / 16;
+/// Weight of the newest window in the running mean of service times.
+constexpr double newest_service_weight = 0.3;
+/// With less than this share of the limit in use the threshold is too low.
+constexpr double slack_use = 0.7;
+/// Weight of the newest window, and factor on the speed of forgetting, while it is too low.
+constexpr double newest_weight_with_slack = 0.3;
+constexpr double forgetting_with_slack = 3;
 /// The demand of a priority is seen if at least this share of it is let through.
 constexpr double least_visible_share = 0.125;
 /// Half-lives of the remembered demand, in windows, at recovery speed 0 and 1.
@@ -50,8 +55,8 @@
 }
 
 void admission_level::finished(duration service_time) {
-    const auto took = static_cast<double>(service_time.count());
-    service_time_ += service_time_ == 0 ? took : newest_call_weight * (took - service_time_);
+    ++window_.finished;
+    window_.service_time += static_cast<double>(service_time.count());
 }
 
 void admission_level::update(time_point now, const admission_state& state) {
@@ -60,16 +65,29 @@
         demand_.fill(0);
         window_ = {};
         window_.since = now;
+        updated_at_ = now;
     }
     while (now - window_.since >= window_length) {
         const auto end = window_.since + window_length;
+        add_time(end);
         close_window(end);
     }
+    add_time(now);
     state_ = state;
     window_.least_queued = std::min(window_.least_queued, state.queued);
 }
 
+void admission_level::add_time(time_point until) {
+    const double used = std::min(1.0, static_cast<double>(state_.in_flight) / state_.limit);
+    window_.used_time += used * static_cast<double>((until - updated_at_).count());
+    updated_at_ = until;
+}
+
 void admission_level::close_window(time_point end) {
+    if (window_.finished > 0) {
+        const double mean = window_.service_time / window_.finished;
+        service_time_ += service_time_ == 0 ? mean : newest_service_weight * (mean - service_time_);
+    }
     const double tolerated = capacity() * to_seconds(tolerated_sojourn) / to_seconds(window_length);
     const double excess = window_.least_queued - tolerated;
     const bool has_pressure = window_.least_queued > 0 && excess > 0;
@@ -86,14 +104,18 @@
 void admission_level::estimate_demand(bool has_pressure) {
     windows_under_pressure_ = has_pressure ? windows_under_pressure_ + 1 : 0;
     const bool is_onset = has_pressure && windows_under_pressure_ <= onset_windows;
-    const double weight = is_onset ? newest_weight_at_onset : newest_weight;
+    const double used = window_.used_time / static_cast<double>(window_length.count());
+    const bool has_slack = is_limiting() && used < slack_use;
+    const double calm_weight = has_slack ? newest_weight_with_slack : newest_weight;
+    const double weight = is_onset ? newest_weight_at_onset : calm_weight;
+    const double kept = has_slack ? std::pow(memory_, forgetting_with_slack) : memory_;
     for (std::size_t i = 0; i < priorities; ++i) {
         const double share = visible_share(i);
         if (share >= least_visible_share) {
             demand_[i] += weight * (window_.offered_below[i] / share - demand_[i]);
         } else {
             const double risen = demand_[i] + weight * (window_.offered[i] - demand_[i]);
-            demand_[i] = std::max(demand_[i] * memory_, risen);
+            demand_[i] = std::max(demand_[i] * kept, risen);
         }
     }
 }
--- a/libs/admission/src/chain_levels.cpp
+++ b/libs/admission/src/chain_levels.cpp
@@ -7,26 +7,33 @@
 namespace {
 
 constexpr duration report_interval = 250ms;
-/// A level that was heard this long ago begins to rise.
-constexpr duration hold_time = 500ms;
-/// From then on it has risen by this many positions, and twice as many after each rise time.
+/// A level that was heard this long ago begins to rise, at recovery speed 0 and 1.
+constexpr duration longest_hold = 1s;
+constexpr duration shortest_hold = 250ms;
+/// From then on it has risen by this many positions, and twice as many after each half of the time
+/// for which it was held.
 constexpr double first_rise = 64;
-constexpr duration rise_time = 250ms;
 
 } // namespace
 
+heard_levels::heard_levels(double recovery_speed) {
+    const double ratio = to_seconds(shortest_hold) / to_seconds(longest_hold);
+    const double factor = std::pow(ratio, recovery_speed);
+    hold_ = duration(static_cast<duration::rep>(longest_hold.count() * factor));
+}
+
 void heard_levels::hear(time_point now, call_side side, const service_name& service,
                         const kind_level& level) {
     auto& levels = side == call_side::first_leg ? first_leg_ : below_;
     levels[level.kind][service] = {level.threshold, now};
 }
 
-std::uint32_t heard_levels::risen(time_point now, const heard_level& level) {
+std::uint32_t heard_levels::risen(time_point now, const heard_level& level) const {
     const auto age = now - level.at;
-    if (age <= hold_time) {
+    if (age <= hold_) {
         return level.threshold;
     }
-    const double doublings = to_seconds(age - hold_time) / to_seconds(rise_time);
+    const double doublings = to_seconds(age - hold_) / to_seconds(hold_ / 2);
     const double rise = first_rise * std::exp2(doublings);
     return static_cast<std::uint32_t>(std::min<double>(level.threshold + rise, admit_all));
 }
--- a/libs/admission/tests/admission_level_test.cpp
+++ b/libs/admission/tests/admission_level_test.cpp
@@ -35,7 +35,9 @@
             if (finished > 0) {
                 level.finished(service_time);
             }
-            level.update(now, {static_cast<std::uint32_t>(queue), slots});
+            const auto waiting = static_cast<std::uint32_t>(queue);
+            const auto in_flight = finished > 0 ? slots : 0;
+            level.update(now, {in_flight, waiting, slots});
         }
     }
 };
@@ -90,7 +92,7 @@
 }
 
 TEST_CASE("a level that is heard holds for first legs of its service and kind alone") {
-    heard_levels levels;
+    heard_levels levels(0.5);
     const time_point now{1s};
     levels.hear(now, call_side::first_leg, service_name("a"), {"read", 700});
     CHECK(levels.first_leg_threshold(now, service_name("a"), "read") == 700);
@@ -100,7 +102,7 @@
 }
 
 TEST_CASE("the lowest level of the services below counts") {
-    heard_levels levels;
+    heard_levels levels(0.5);
     const time_point now{1s};
     levels.hear(now, call_side::below, service_name("a"), {"read", 700});
     levels.hear(now, call_side::below, service_name("b"), {"read", 300});
@@ -108,7 +110,7 @@
 }
 
 TEST_CASE("a level that is not heard again rises until everything is admitted") {
-    heard_levels levels;
+    heard_levels levels(0.5);
     const time_point now{1s};
     levels.hear(now, call_side::below, service_name("a"), {"read", 1});
     CHECK(levels.threshold_below(now + 400ms, "read") == 1);
--- a/libs/admission/tests/admission_test.cpp
+++ b/libs/admission/tests/admission_test.cpp
@@ -42,8 +42,7 @@
         return calls;
     }
 
-    void finish(call_id call, duration took = 10ms,
-                service_end end = service_end::answered) {
+    void finish(call_id call, duration took = 10ms, service_end end = service_end::answered) {
         admitter.finished(now, call, {took, end});
     }
 };
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -18,6 +18,7 @@
 struct core_state {
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
+          chain(settings.admission.recovery_speed),
           gate(settings.quarantine, settings.incarnation.value),
           route({settings.domain, settings.region}, settings.routing), random(settings.seed) {}
 
@@ -28,8 +29,8 @@
     std::optional<table> current;
     membership members;
     admission admitter;
-    quarantine gate;
     heard_levels chain;
+    quarantine gate;
     router route;
     load_reporter load_reports;
     retry_ledger ledger;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -126,7 +126,8 @@
         state_.out.emplace_back(cancel_attempt{entry.attempt});
         by_attempt_.erase(entry.attempt);
         state_.ledger.close(call);
-        state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, service_end::given_up});
+        state_.admitter.finished(state_.now, call,
+                                 {state_.now - entry.handed_at, service_end::given_up});
     } else {
         state_.admitter.withdraw(call);
     }
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -25,9 +25,10 @@
                       "connections that the target accepts");
     options.add_number("queue-per-slot", &s.queue_per_slot, 0, 100, "ratio",
                        "calls that may wait for each slot");
-    options.add_number("recovery-speed", &s.recovery_speed, 0, 1, "ratio",
-                       "how fast refused demand is forgotten after overload: 0 keeps more goodput, "
-                       "1 returns to normal sooner");
+    options.add_number(
+        "recovery-speed", &s.recovery_speed, 0, 1, "ratio",
+        "how soon what was refused is tried again: 0 wastes less work under overload, "
+        "1 returns to normal sooner");
     options.add_milliseconds("drain-limit", &s.drain_limit, 0, 3'600'000,
                              "how long a stop waits for calls in flight");
     options.add_count("max-body-bytes", &s.max_body_bytes, 1, 64'000'000, "bytes",
@@ -46,8 +47,10 @@
     core.incarnation = {random};
     core.key_secret = std::move(key_secret);
     core.admission = {static_cast<std::uint32_t>(s.slots),
-                      static_cast<std::uint32_t>(s.connections), s.queue_per_slot,
-                      s.recovery_speed, {}};
+                      static_cast<std::uint32_t>(s.connections),
+                      s.queue_per_slot,
+                      s.recovery_speed,
+                      {}};
     core.drain_limit = s.drain_limit;
     core.seed = random ^ 0x9E3779B97F4A7C15ULL;
     return core;
