--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <trefoil/admission/admission_level.hpp>
 #include <trefoil/admission/concurrency_limit.hpp>
 #include <trefoil/admission/service_times.hpp>
 #include <trefoil/base/ids.hpp>
@@ -50,9 +51,10 @@
     std::uint32_t connections = 1;
     /// Calls that may wait, as a multiple of the slots.
     double queue_per_slot = 1.0;
-    /// How fast the threshold rises again when there is no pressure, from 0 (slowly, which keeps
-    /// more goodput under lasting overload) to 1 (fast, which returns to normal sooner).
-    double recovery_speed = 0.5;
+    /// How soon refused demand is forgotten and levels that are not heard again are probed, from 0
+    /// (late, which sheds more strictly in order and wastes less) to 1 (soon, which returns to
+    /// normal sooner).
+    double recovery_speed = 0.6;
     admission_policy policy = {};
 
     friend bool operator==(const admission_settings&, const admission_settings&) = default;
@@ -80,12 +82,25 @@
     friend bool operator==(const admission_change&, const admission_change&) = default;
 };
 
+/// What the end of a call says of its target.
+enum class service_end : std::uint8_t {
+    /// A whole answer.
+    answered,
+    /// An answer that reports an error of the application, perhaps of a service further down.
+    errored,
+    /// The target shed the call.
+    shed,
+    /// The target took no connection, lost one or gave no whole answer.
+    failed,
+    /// The call was cancelled or its deadline passed, which says nothing of the target.
+    given_up,
+};
+
 /// How a call that was handed to the target ended.
 struct service_result {
     /// Time between hand-off and end.
     duration service_time{0};
-    /// False if the target failed, shed the call or gave no whole answer.
-    bool succeeded = true;
+    service_end end = service_end::answered;
 
     friend bool operator==(const service_result&, const service_result&) = default;
 };
@@ -135,6 +150,7 @@
 
     std::uint32_t queue_limit() const;
     std::uint32_t limit() const;
+    void note_state(time_point now);
     bool kind_is_full(const admission_request& request) const;
     bool is_too_late(time_point now, const admission_request& request) const;
     queue::iterator take(queue::iterator at, refusal reason, std::vector<admission_change>& out);
@@ -146,6 +162,7 @@
     admission_settings settings_;
     concurrency_limit limit_;
     service_times service_times_;
+    admission_level level_;
     queue queue_;
     std::set<deadline_key> deadlines_;
     std::unordered_map<call_id, queue_key> keys_;
--- a/libs/core/src/core_state.hpp
+++ b/libs/core/src/core_state.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include <trefoil/admission/admission.hpp>
+#include <trefoil/admission/chain_levels.hpp>
 #include <trefoil/base/random.hpp>
 #include <trefoil/core/node_core.hpp>
 #include <trefoil/membership/leaving_news.hpp>
@@ -20,6 +21,7 @@
 struct core_state {
     explicit core_state(core_settings given)
         : settings(std::move(given)), admitter(settings.admission),
+          chain(settings.admission.recovery_speed),
           gate(settings.quarantine, settings.incarnation.value),
           route({settings.domain, settings.region}, settings.routing), ledger(settings.lends),
           budget(settings.retry_budget), random(settings.seed) {}
@@ -33,6 +35,7 @@
     leaving_news leaving;
     pause_guard pause;
     admission admitter;
+    heard_levels chain;
     quarantine gate;
     router route;
     load_reporter load_reports;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -23,6 +23,15 @@
     return refusal::connection_lost;
 }
 
+service_end service_end_of(int status) {
+    constexpr int shed_status = 503;
+    constexpr int first_error_status = 500;
+    if (status == shed_status) {
+        return service_end::shed;
+    }
+    return status >= first_error_status ? service_end::errored : service_end::answered;
+}
+
 } // namespace
 
 void inbound_calls::arrive(call_id call, reply_address reply, request_ptr request,
@@ -58,7 +67,11 @@
     if (call.request->body.size() > row.max_bytes) {
         return refusal::too_large;
     }
-    return refusal::none;
+    const auto position = admission_position(call.context.priority, call.context.request);
+    const bool is_shed_below =
+        state_.settings.admission.policy.chain_level &&
+        position >= state_.chain.threshold_below(state_.now, call.context.kind);
+    return is_shed_below ? refusal::chain_level : refusal::none;
 }
 
 refusal inbound_calls::enter(call_id call, const inbound_call& entry) {
@@ -119,7 +132,8 @@
         by_attempt_.erase(entry.attempt);
         state_.ledger.close(call);
         state_.lost_parents.push_back(call);
-        state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, false});
+        state_.admitter.finished(state_.now, call,
+                                 {state_.now - entry.handed_at, service_end::given_up});
     } else {
         state_.admitter.withdraw(call);
     }
@@ -139,7 +153,7 @@
             refused(refusal::overload, state_.ledger.close(call), state_.settings.incarnation);
         info.load = state_.admitter.load();
         state_.gate.ended(state_.now, call, run_end::given_up);
-        finish_at_target(call, {nullptr, info}, false);
+        finish_at_target(call, {nullptr, info}, service_end::shed);
         return;
     }
     answer_info info;
@@ -147,10 +161,10 @@
     info.unused_tokens = state_.ledger.retire(state_.now, call);
     info.incarnation = state_.settings.incarnation;
     info.load = state_.load_reports.take(state_.now, state_.admitter.load());
-    constexpr int shed_status = 503;
-    const bool was_run = answer->status != shed_status;
+    const auto seen = service_end_of(answer->status);
+    const bool was_run = seen != service_end::shed;
     state_.gate.ended(state_.now, call, was_run ? run_end::completed : run_end::given_up);
-    finish_at_target(call, {answer, info}, was_run);
+    finish_at_target(call, {answer, info}, seen);
 }
 
 void inbound_calls::target_failed(attempt_id attempt, attempt_failure failure) {
@@ -169,13 +183,15 @@
         state_.gate.ended(state_.now, call, run_end::lost);
         log_loss(calls_.at(call));
     }
-    finish_at_target(call, {nullptr, info}, false);
+    const bool says_nothing = failure == attempt_failure::timed_out;
+    finish_at_target(call, {nullptr, info},
+                     says_nothing ? service_end::given_up : service_end::failed);
 }
 
-void inbound_calls::finish_at_target(call_id call, const call_end& end, bool succeeded) {
+void inbound_calls::finish_at_target(call_id call, const call_end& end, service_end seen) {
     auto& entry = calls_.at(call);
     by_attempt_.erase(entry.attempt);
-    state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, succeeded});
+    state_.admitter.finished(state_.now, call, {state_.now - entry.handed_at, seen});
     this->end(call, end);
 }
 
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -7,6 +7,7 @@
 #include <trefoil/membership/member_list.hpp>
 #include <trefoil/routing/neighbours.hpp>
 
+#include "chain_observer.hpp"
 #include "core_state.hpp"
 #include "document_rules.hpp"
 #include "inbound_calls.hpp"
@@ -67,6 +68,7 @@
         if (const auto gap = state_.pause.enter_step(now)) {
             state_.log(log_event::clock_gap, {{"ms", fmt::format("{:.0f}", to_ms(*gap))}});
         }
+        chain_.before(happened);
         expire();
         std::visit([this](const auto& e) { on(e); }, happened);
         note_leaving();
@@ -378,6 +380,7 @@
         if (armed_ && *armed_ <= state_.now) {
             armed_.reset();
         }
+        chain_.after(state_.out);
         actions out;
         out.swap(state_.out);
         return out;
@@ -389,6 +392,7 @@
     once_calls once_;
     document_parser parser_;
     document_exchange documents_;
+    chain_observer chain_{state_};
     std::optional<time_point> armed_;
     time_point stop_at_;
     bool has_exited_ = false;
--- a/libs/core/src/outbound_calls.hpp
+++ b/libs/core/src/outbound_calls.hpp
@@ -79,6 +79,8 @@
                                                      call_repetition repetition);
     void refuse(call_id call, refusal reason);
     void begin(call_id call, outbound_call entry);
+    /// True if the first leg would be refused for its level at or below the service.
+    bool is_shed_below(const outbound_call& call) const;
     void try_next(call_id call);
     void attempt_ended(call_id call, const call_end& end, attempt_result result);
     /// Takes what a retry costs; false if it may not be made.
