--- a/libs/load/include/trefoil/load/load_run.hpp
+++ b/libs/load/include/trefoil/load/load_run.hpp
@@ -18,7 +18,9 @@
     std::uint64_t completed = 0;
     /// Refused, and said not to have run.
     std::uint64_t not_run = 0;
-    /// All others: late, failed, unknown.
+    /// Answered in full, but with an error of the application or too late.
+    std::uint64_t failed = 0;
+    /// Without an answer, or with one that doesn't say whether the request ran.
     std::uint64_t unknown = 0;
     latency_histogram latency;
 };
--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -77,8 +77,9 @@
 
     void run_phase(const planned_phase& phase) {
         on_phase_(phase);
-        if (phase.name == "surge") {
-            surge_end_ = wall_now() + phase.length;
+        if (phase.name == "recovery") {
+            recovery_begin_ = wall_now();
+            recovery_end_ = recovery_begin_ + phase.length;
         }
         for (const auto& call : plan_.calls) {
             if (call.phase == phase.name) {
@@ -229,6 +230,8 @@
             record_answer(counts, request, *answer, elapsed, kind.deadline);
         } else if (find_header(answer->headers, "trefoil-outcome") == "not_run") {
             ++counts.not_run;
+        } else if (find_header(answer->headers, "trefoil-outcome") == "completed") {
+            ++counts.failed;
         } else {
             ++counts.unknown;
         }
@@ -245,7 +248,7 @@
             ++result_.foreign_answers;
             ++counts.unknown;
         } else if (elapsed > deadline) {
-            ++counts.unknown;
+            ++counts.failed;
         } else {
             ++counts.completed;
             ++windows_[request.window].completed;
@@ -283,22 +286,28 @@
             completed += counts.completed;
         }
         result_.goodput = possible_ > 0 ? static_cast<double>(completed) / possible_ : 0;
-        if (surge_end_ != time_point{}) {
-            const auto first = static_cast<std::size_t>((surge_end_ - started_) / window_length);
-            for (std::size_t i = first; i < windows_.size(); ++i) {
-                const auto& w = windows_[i];
-                if (static_cast<double>(w.completed) <
-                    normal_share * static_cast<double>(w.offered)) {
-                    result_.recovery_s =
-                        static_cast<double>(i + 1 - first) * to_seconds(window_length);
-                }
-            }
-        }
+        result_.recovery_s = recovery_seconds();
         if (table_published_ != time_point{} && nodes_in_force_ == plan_.admins.size()) {
             result_.table_in_force_s = to_seconds(last_in_force_ - table_published_);
         }
     }
 
+    double recovery_seconds() const {
+        if (recovery_begin_ == time_point{}) {
+            return 0;
+        }
+        const auto first = static_cast<std::size_t>((recovery_begin_ - started_) / window_length);
+        const auto last = static_cast<std::size_t>((recovery_end_ - started_) / window_length);
+        std::size_t normal_from = first;
+        for (std::size_t i = first; i < std::min(last, windows_.size()); ++i) {
+            const auto& w = windows_[i];
+            if (static_cast<double>(w.completed) < normal_share * static_cast<double>(w.offered)) {
+                normal_from = i + 1;
+            }
+        }
+        return static_cast<double>(normal_from - first) * to_seconds(window_length);
+    }
+
     const load_plan& plan_;
     const phase_observer& on_phase_;
     uv_loop_t loop_{};
@@ -306,7 +315,8 @@
     std::unique_ptr<http_client> client_;
     random_source random_{1};
     time_point started_;
-    time_point surge_end_;
+    time_point recovery_begin_;
+    time_point recovery_end_;
     time_point table_published_;
     time_point last_in_force_;
     std::size_t nodes_in_force_ = 0;
