Arm no timer after the process may exit

Cause: the shell exits by the one timer that it also arms for the core. An event that came within the 100 ms before the exit made the core arm it again for its next comparison, and the process stayed. Seen in a node that had been told to stop and still ran a minute later, after two failed reads of the platform in that time.

stop_test steps a core after its exit: 83 of 100 steps armed a timer before, none after.

--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -356,7 +356,7 @@
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
         }
-        if (wake && wake != armed_) {
+        if (wake && wake != armed_ && !has_exited_) {
             armed_ = wake;
             state_.out.emplace_back(arm_timer{*wake});
         }
