--- a/libs/emulator/include/trefoil/emulator/virtual_fleet.hpp
+++ b/libs/emulator/include/trefoil/emulator/virtual_fleet.hpp
@@ -60,6 +60,9 @@
         std::function<void(const instance_id&, const http_request&, const call_context&)>;
     /// Told of every action of a core.
     using action_observer = std::function<void(const instance_id&, const action&)>;
+    /// Told of every call that a target makes by its node.
+    using call_observer =
+        std::function<void(const instance_id&, const request_ptr&, const call_context&)>;
 
     virtual_fleet(network_settings network, fake_target::work_of work, std::uint64_t seed);
     ~virtual_fleet();
@@ -68,6 +71,7 @@
     network_settings& network() { return network_; }
     void observe_runs(run_observer observer) { run_observer_ = std::move(observer); }
     void observe_actions(action_observer observer) { action_observer_ = std::move(observer); }
+    void observe_calls(call_observer observer) { call_observer_ = std::move(observer); }
 
     /// Adds a node; it starts at once.
     void add(fleet_member member);
@@ -102,6 +106,10 @@
     void restart(const instance_id& instance);
     /// SIGTERM.
     void stop(const instance_id& instance);
+    /// Every connection of the node is lost, in both directions; its process and target live on.
+    void reset_connections(const instance_id& instance);
+    /// Requests that nodes cut off by their own exit after a stop.
+    std::uint64_t cut_by_exit() const { return cut_by_exit_; }
 
     static constexpr const char* platform_domain = "platform";
 
@@ -144,10 +152,12 @@
     random_source random_;
     run_observer run_observer_;
     action_observer action_observer_;
+    call_observer call_observer_;
     std::map<instance_id, node_ptr> nodes_;
     std::map<document_id, published_document> documents_;
     platform_mode platform_mode_ = platform_mode::serving;
     std::uint64_t platform_calls_ = 0;
+    std::uint64_t cut_by_exit_ = 0;
     std::set<std::pair<std::string, std::string>> cuts_;
     std::uint64_t next_submission_ = 0;
     std::unordered_map<std::uint64_t, wire_call_ptr> submissions_;
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -259,6 +259,9 @@
 
 void virtual_fleet::call_from_target(const node_ptr& at, request_ptr request,
                                      const call_context& context, fake_target::call_done done) {
+    if (call_observer_) {
+        call_observer_(at->member.core.self, request, context);
+    }
     if (!at->is_running) {
         clock_.after(0us, [done = std::move(done)] { done(0, {}, ""); });
         return;
@@ -437,6 +440,9 @@
 }
 
 void virtual_fleet::perform(const node_ptr& at, const exit_process&) {
+    cut_by_exit_ += static_cast<std::uint64_t>(
+        std::count_if(at->arrived.begin(), at->arrived.end(),
+                      [](const auto& entry) { return !entry.second->is_closed; }));
     drop_connections(at);
     at->is_running = false;
 }
@@ -555,6 +561,19 @@
     deliver(at, at->run, stop_requested{});
 }
 
+void virtual_fleet::reset_connections(const instance_id& instance) {
+    const auto at = nodes_.at(instance);
+    const auto arrived = at->arrived;
+    const auto attempts = at->attempts;
+    drop_connections(at);
+    for (const auto& [call, ignored] : arrived) {
+        deliver(at, at->run, call_abandoned{call});
+    }
+    for (const auto& [attempt, ignored] : attempts) {
+        deliver(at, at->run, attempt_failed{attempt, attempt_failure::connection_lost});
+    }
+}
+
 duration virtual_fleet::latency(const node& from, const node& to) const {
     if (from.member.core.domain == to.member.core.domain) {
         return network_.same_domain_latency;
