Test faults with separate processes

Real sockets and signals were tried only for one stop. Killed, stopped and continued nodes, cut connections, a platform that is down from the start or in the middle, a stop under load, a request that kills its target, racing and wrong tables, and bytes that are no proper request now each have a test. Waits are for conditions. The stand-in target counts runs by body, so that a request told not_run is looked for at every target.

--- /dev/null
+++ b/tests/process/fault_test.cpp
@@ -0,0 +1,316 @@
+#include "process_site.hpp"
+#include "raw_connection.hpp"
+
+using namespace trefoil;
+
+namespace {
+
+const std::string open_table = table_header + "default,*,*,*,5,1,5000,2,100,no,65536,99\n";
+
+std::string table_with_limit(int max_in_flight) {
+    return table_header + fmt::format("default,*,*,*,5,1,5000,2,{},no,65536,99\n", max_in_flight);
+}
+
+/// One service that calls another, which has two instances.
+struct small_site : process_site {
+    explicit small_site(double work_ms = 5) {
+        start_platform(open_table);
+        add({"a1", "a", "d1", "b:/b", work_ms});
+        add({"b1", "b", "d1", "", work_ms});
+        add({"b2", "b", "d2", "", work_ms});
+        start_all();
+    }
+
+    bool serves(const std::string& name) {
+        const auto answer = call(name, "GET", "/x", "probe");
+        return answer && answer->status == 200;
+    }
+
+    bool has_calls(const std::string& name) {
+        return status_of(name).find("\"calls\":0,") == std::string::npos;
+    }
+};
+
+/// Requests that are under way together, each with a body of its own.
+class request_group {
+public:
+    explicit request_group(process_site& site, std::string prefix)
+        : site_(site), prefix_(std::move(prefix)) {}
+
+    void send(const std::string& node, int count) {
+        for (int i = 0; i < count; ++i) {
+            const auto body = fmt::format("{}-{}", prefix_, ends_.size());
+            ends_.emplace(body, std::nullopt);
+            site_.send(node, {"GET", "/x", service_name("a"), {}, body, "", ""},
+                       [this, body](exchange_result result) {
+                           CHECK_FALSE(ends_.at(body).has_value());
+                           ends_.at(body) = std::move(result);
+                       });
+        }
+    }
+
+    bool has_ended() const {
+        return std::all_of(ends_.begin(), ends_.end(),
+                           [](const auto& entry) { return entry.second.has_value(); });
+    }
+
+    void wait() {
+        site_.wait_until([this] { return has_ended(); });
+    }
+
+    /// Each end is the whole own answer, a typed refusal, or a connection that was lost; a request
+    /// that was told not_run has run nowhere.
+    void check(const std::vector<std::string>& targets, bool may_lose_connections) {
+        for (const auto& [body, end] : ends_) {
+            REQUIRE(end.has_value());
+            const auto* answer = std::get_if<http_answer>(&*end);
+            if (answer == nullptr) {
+                CHECK(may_lose_connections);
+                continue;
+            }
+            const auto outcome = find_header(answer->headers, "trefoil-outcome");
+            INFO(body, " ", answer->status, " ", answer->body);
+            if (answer->status == 200) {
+                CHECK(answer->body == fmt::format("(a {0}(b {0}))", body));
+                CHECK(outcome == "completed");
+                ++answered_;
+            } else if (outcome == "not_run") {
+                for (const auto& target : targets) {
+                    CHECK(site_.runs_of_body(target, body) == 0);
+                }
+            } else {
+                CHECK(!outcome.empty());
+            }
+        }
+    }
+
+    int answered() const { return answered_; }
+
+private:
+    process_site& site_;
+    std::string prefix_;
+    std::map<std::string, std::optional<exchange_result>> ends_;
+    int answered_ = 0;
+};
+
+const std::vector<std::string> all_targets = {"a1", "b1", "b2"};
+
+} // namespace
+
+TEST_CASE("SIGKILL of a node under load costs no more than typed refusals and lost connections") {
+    small_site site(30);
+    request_group group(site, "kill");
+    group.send("a1", 40);
+    site.wait_until([&] { return site.runs_of("b1") + site.runs_of("b2") > 0; });
+    site.node("b1").signal(SIGKILL);
+    group.send("a1", 10);
+    group.wait();
+    group.check(all_targets, false);
+    CHECK(group.answered() > 0);
+    site.wait_until([&] { return site.serves("a1"); });
+    site.start_node("b1");
+    site.wait_until([&] { return site.serves("b1"); });
+}
+
+TEST_CASE("SIGKILL of the node that the callers use ends their connections; it serves again") {
+    small_site site(30);
+    request_group group(site, "edge");
+    group.send("a1", 20);
+    site.wait_until([&] { return site.runs_of("a1") > 0; });
+    site.node("a1").signal(SIGKILL);
+    group.wait();
+    group.check(all_targets, true);
+    site.start_node("a1");
+    site.wait_until([&] { return site.serves("a1"); });
+    site.wait_until([&] { return !site.has_calls("b1") && !site.has_calls("b2"); });
+}
+
+TEST_CASE("SIGSTOP and then SIGCONT of a node under load") {
+    small_site site(30);
+    request_group group(site, "stop");
+    group.send("a1", 30);
+    site.wait_until([&] { return site.runs_of("b1") + site.runs_of("b2") > 0; });
+    site.node("b1").signal(SIGSTOP);
+    group.send("a1", 10);
+    group.wait();
+    site.node("b1").signal(SIGCONT);
+    site.wait_until([&] { return site.serves("b1") && site.serves("a1"); });
+    site.wait_until([&] { return !site.has_calls("b1") && !site.has_calls("a1"); });
+    group.check(all_targets, false);
+}
+
+TEST_CASE("a connection that its caller cuts leaves nothing behind") {
+    small_site site(50);
+    {
+        const raw_connection caller(site.address("a1", "caller"));
+        caller.write("GET /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\ncut");
+        site.wait_until([&] { return site.runs_of_body("a1", "cut") == 1; });
+        caller.reset();
+    }
+    site.wait_until([&] { return !site.has_calls("a1") && !site.has_calls("b1"); });
+    CHECK(site.serves("a1"));
+    CHECK(site.call("a1", "GET", "/x", "next")->body == "(a next(b next))");
+}
+
+TEST_CASE("a platform that is down from the start is waited for") {
+    process_site site;
+    site.start_platform(open_table);
+    site.set_platform_mode("down");
+    site.add({"a1", "a", "d1", "", 1});
+    site.start_target("a1");
+    site.start_node("a1");
+    std::optional<http_answer> refused;
+    site.wait_until([&] {
+        refused = site.call("a1", "GET", "/x", "early");
+        return refused.has_value();
+    });
+    CHECK(refused->status == 503);
+    CHECK(find_header(refused->headers, "trefoil-outcome") == "not_run");
+    CHECK(site.runs_of("a1") == 0);
+    site.set_platform_mode("serving");
+    site.publish_members();
+    site.wait_until([&] {
+        const auto answer = site.call("a1", "GET", "/x", "late");
+        return answer && answer->status == 200;
+    });
+    CHECK(site.runs_of_body("a1", "early") == 0);
+}
+
+TEST_CASE("a platform that fails in the middle stops no call and reverts no table") {
+    small_site site;
+    site.publish("table", table_with_limit(50));
+    const auto holds = [&](const std::string& name, int number) {
+        return site.status_of(name).find(fmt::format("\"table\":{{\"revision\":{},", number)) !=
+               std::string::npos;
+    };
+    site.wait_until([&] { return holds("a1", 2) && holds("b1", 2); });
+    for (const auto* mode : {"down", "stale", "garbage", "hang"}) {
+        site.set_platform_mode(mode);
+        CHECK(site.serves("a1"));
+        CHECK(holds("a1", 2));
+    }
+    site.set_platform_mode("serving");
+    site.publish("table", table_with_limit(40));
+    site.wait_until([&] { return holds("a1", 3) && holds("b1", 3) && holds("b2", 3); });
+    CHECK(site.serves("a1"));
+}
+
+TEST_CASE("SIGTERM under load cuts off nothing") {
+    small_site site(20);
+    request_group group(site, "term");
+    group.send("a1", 12);
+    site.wait_until([&] { return site.runs_of("a1") >= 1; });
+    site.node("b1").signal(SIGTERM);
+    site.node("a1").signal(SIGTERM);
+    group.wait();
+    group.check(all_targets, false);
+    CHECK(group.answered() > 0);
+    CHECK(site.node("a1").wait() == 0);
+    CHECK(site.node("b1").wait() == 0);
+}
+
+TEST_CASE("a request that kills its target gets a typed end, and the node lives on") {
+    small_site site;
+    const auto answer = site.call("b1", "GET", "/crash", "poison");
+    REQUIRE(answer);
+    CHECK(answer->status >= 500);
+    CHECK(find_header(answer->headers, "trefoil-outcome") == "unknown");
+    CHECK(site.node("b1").is_running());
+    for (const auto* name : {"b1", "b2"}) {
+        if (!site.target(name).is_running()) {
+            site.start_target(name);
+        }
+    }
+    site.wait_until([&] { return site.serves("a1"); });
+}
+
+TEST_CASE("two table changes that race end at the last one everywhere") {
+    small_site site;
+    for (int i = 0; i < 10; ++i) {
+        site.publish("table", table_with_limit(0));
+        site.publish("table", table_with_limit(100));
+    }
+    const std::string last = "\"table\":{\"revision\":21,";
+    for (const auto* name : {"a1", "b1", "b2"}) {
+        site.wait_until([&] { return site.status_of(name).find(last) != std::string::npos; });
+    }
+    CHECK(site.serves("a1"));
+}
+
+TEST_CASE("a wrong table is refused whole and the last good one stays") {
+    small_site site;
+    site.publish("table", table_header + "default,*,*,*,5,1,5000,two,100,no,65536,99\n");
+    site.wait_until(
+        [&] { return site.log_of("a1").find("document_refused") != std::string::npos; });
+    CHECK(site.serves("a1"));
+    CHECK(site.status_of("a1").find("\"table\":{\"revision\":1,") != std::string::npos);
+    site.publish("table", table_with_limit(70));
+    site.wait_until([&] {
+        return site.status_of("a1").find("\"table\":{\"revision\":3,") != std::string::npos;
+    });
+}
+
+TEST_CASE("bytes that are no proper request never reach a target") {
+    small_site site;
+    const std::string fields = "GET /x HTTP/1.1\r\nhost: a\r\n";
+    const std::vector<std::string> broken = {
+        "\x01\x02\x03\r\n\r\n",
+        "GET /x HTTP/9.9\r\nhost: a\r\n\r\n",
+        "GET\r\n\r\n",
+        fields + "content-length: -1\r\n\r\n",
+        fields + "content-length: x\r\n\r\n",
+        fields + "content-length: 18446744073709551616\r\n\r\n",
+        fields + "transfer-encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n",
+        fields + "x: " + std::string(200'000, 'x') + "\r\n\r\n",
+        fields + "no colon\r\n\r\n",
+        fields + "content-length: 100\r\n\r\ntoo short",
+    };
+    const auto runs = site.runs_of("a1") + site.runs_of("b1");
+    for (const auto* role : {"caller", "peer", "app"}) {
+        for (const auto& bytes : broken) {
+            INFO(role, ": ", bytes.substr(0, 80));
+            const raw_connection outsider(site.address("a1", role));
+            outsider.write(bytes);
+            outsider.finish_writing();
+            const auto answer = outsider.read_to_end();
+            CHECK(answer.find(" 200 ") == std::string::npos);
+        }
+    }
+    CHECK(site.runs_of("a1") + site.runs_of("b1") == runs);
+    CHECK(site.node("a1").is_running());
+    CHECK(site.serves("a1"));
+}
+
+TEST_CASE("a body above the row's limit is refused with its reason") {
+    small_site site;
+    const auto refused = site.call("a1", "POST", "/x", std::string(70'000, 'x'));
+    REQUIRE(refused);
+    CHECK(refused->status == 413);
+    CHECK(find_header(refused->headers, "trefoil-outcome") == "not_run");
+    CHECK(site.runs_of("a1") == 0);
+}
+
+TEST_CASE("a context that an outsider forges or breaks is not believed") {
+    small_site site;
+    const auto forged = site.call("a1", "GET", "/x", "forged",
+                                  {{"trefoil-context", "AAAA"}, {"baggage", "trefoil=AAAA"}});
+    REQUIRE(forged);
+    CHECK(forged->status == 200);
+    CHECK(forged->body == "(a forged(b forged))");
+
+    const auto at_listener = [&](const std::string& role, std::vector<http_header> headers) {
+        const auto answer =
+            site.exchange(site.address("b1", role),
+                          {"GET", "/b", service_name("b"), std::move(headers), "peer", "", ""});
+        REQUIRE(answer);
+        return answer->status;
+    };
+    CHECK(at_listener("peer", {}) == 400);
+    CHECK(at_listener("peer", {{"trefoil-context", "not base64 !"}}) == 400);
+    CHECK(at_listener("peer", {{"trefoil-context", "AAAA"}, {"trefoil-attempt", "1-1"}}) == 400);
+    CHECK(at_listener("peer", {{"trefoil-context", std::string(5000, 'A')},
+                               {"trefoil-attempt", "1-1"}}) == 400);
+    CHECK(at_listener("app", {{"baggage", "trefoil=not base64 !"}}) == 400);
+    CHECK(site.runs_of_body("b1", "peer") == 0);
+    CHECK(site.serves("b1"));
+}
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -234,6 +234,17 @@
         return answer ? std::strtoull(answer->body.c_str(), nullptr, 10) : 0;
     }
 
+    /// How often the target began work on requests of this body.
+    std::uint64_t runs_of_body(const std::string& name, const std::string& body) {
+        const auto answer = get(address(name, "target"), "/_counts");
+        const auto counts = answer ? "\n" + answer->body : "";
+        const auto line = "\n" + body + " ";
+        const auto at = counts.find(line);
+        return at == std::string::npos
+                   ? 0
+                   : std::strtoull(counts.c_str() + at + line.size(), nullptr, 10);
+    }
+
     std::optional<http_answer> get(const endpoint& where, const std::string& path) {
         return exchange(where, {"GET", path, service_name("x"), {}, "", "", ""});
     }
--- /dev/null
+++ b/tests/process/raw_connection.hpp
@@ -0,0 +1,71 @@
+// A TCP connection on which a test writes bytes that no HTTP library would send.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <doctest/doctest.h>
+
+#include <trefoil/base/endpoint.hpp>
+
+namespace trefoil {
+
+/// Blocks; the peer is another process. A read gives up after a limit that no working system needs.
+class raw_connection {
+public:
+    explicit raw_connection(const endpoint& to) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        const timeval limit{30, 0};
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    }
+
+    ~raw_connection() { ::close(socket_); }
+
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+
+    /// Writes what the peer takes; a peer that has closed is no error.
+    void write(std::string_view bytes) const {
+        while (!bytes.empty()) {
+            const auto count = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0) {
+                return;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+
+    /// No more bytes come from this side.
+    void finish_writing() const { ::shutdown(socket_, SHUT_WR); }
+
+    /// Everything until the peer closes.
+    std::string read_to_end() const {
+        std::string text;
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = ::recv(socket_, buffer, sizeof(buffer), 0)) > 0) {
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+    /// Closes with a reset instead of an orderly end.
+    void reset() const {
+        const linger now{1, 0};
+        ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+
+private:
+    int socket_;
+};
+
+} // namespace trefoil
