Arm a timer again that came too early

A node whose table was refused stopped reading the platform until the next event. Cause, from the log of a process: the read was due at 23.904 s, the runtime's timer counts whole milliseconds from the loop's rounded time and came up to 1 ms early, and the core believed that its timer was still armed. Ruled out: the platform's stand-in, which never saw the third read. Before: two reads, then none for 10 s. After: a read every 500 ms; timer_test fails without the change.

--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -190,7 +190,8 @@
         }
     }
 
-    void on(const timer_fired&) {}
+    // The timer may have come too early; the next one is armed anew.
+    void on(const timer_fired&) { armed_.reset(); }
 
     std::size_t calls() const { return inbound_.size() + outbound_.size() + once_.size(); }
 
