--- a/tests/process/fault_test.cpp
+++ b/tests/process/fault_test.cpp
@@ -61,7 +61,9 @@
     /// Each end is the whole own answer, a typed refusal, or a connection that was lost; a request
     /// that was told not_run has run nowhere.
     void check(const std::vector<std::string>& targets, bool may_lose_connections) {
-        for (const auto& [body, end] : ends_) {
+        for (const auto& entry : ends_) {
+            const auto& body = entry.first;
+            const auto& end = entry.second;
             REQUIRE(end.has_value());
             const auto* answer = std::get_if<http_answer>(&*end);
             if (answer == nullptr) {
