--- a/libs/load/include/trefoil/load/load_run.hpp
+++ b/libs/load/include/trefoil/load/load_run.hpp
@@ -42,12 +42,26 @@
     std::uint64_t foreign_answers = 0;
 };
 
-/// Told of the beginning of each phase.
-using phase_observer = std::function<void(const planned_phase&)>;
+/// What ended within one second of a run; `offered` is what was sent in it.
+struct load_progress {
+    std::size_t second = 0;
+    std::uint64_t offered = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t failed = 0;
+
+    friend bool operator==(const load_progress&, const load_progress&) = default;
+};
+
+/// Told how a run goes on. Both must be set.
+struct load_observer {
+    std::function<void(const planned_phase&)> on_phase;
+    std::function<void(const load_progress&)> on_second;
+};
 
 /// Runs the plan to its end. At most 5,000 requests are open at once; further ones count as
 /// unknown.
-load_result run_load(const load_plan& plan, const phase_observer& on_phase);
+load_result run_load(const load_plan& plan, const load_observer& observer);
 
 /// The result as aligned text, its last line in the form `name=value name=value`.
 std::string to_text(const load_result& result);
--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -38,8 +38,8 @@
 
 class load_runner {
 public:
-    load_runner(const load_plan& plan, const phase_observer& on_phase)
-        : plan_(plan), on_phase_(on_phase) {
+    load_runner(const load_plan& plan, const load_observer& observer)
+        : plan_(plan), observer_(observer) {
         uv_loop_init(&loop_);
         uv_timer_init(&loop_, &ticker_);
         client_ = std::make_unique<http_client>(&loop_);
@@ -76,7 +76,7 @@
     }
 
     void run_phase(const planned_phase& phase) {
-        on_phase_(phase);
+        observer_.on_phase(phase);
         if (phase.name == "recovery") {
             recovery_begin_ = wall_now();
             recovery_end_ = recovery_begin_ + phase.length;
@@ -99,12 +99,32 @@
                 }
             }
             uv_run(&loop_, UV_RUN_ONCE);
+            report_progress();
         }
         const double possible = phase.capacity * to_seconds(phase.length);
         possible_ += possible > 0 ? std::min(possible, static_cast<double>(offered))
                                   : static_cast<double>(offered);
     }
 
+    void report_progress() {
+        const auto second = static_cast<std::size_t>((wall_now() - started_) / 1s);
+        if (second == reported_second_) {
+            return;
+        }
+        reported_second_ = second;
+        load_progress now;
+        now.second = second;
+        for (const auto& [kind, counts] : result_.kinds) {
+            now.offered += counts.offered;
+            now.completed += counts.completed;
+            now.not_run += counts.not_run;
+            now.failed += counts.failed + counts.unknown;
+        }
+        observer_.on_second({second, now.offered - last_.offered, now.completed - last_.completed,
+                             now.not_run - last_.not_run, now.failed - last_.failed});
+        last_ = now;
+    }
+
     void make_call(const planned_call& call) {
         http_request request{
             call.method, call.path, service_name(to_string(call.to)), {}, call.body, "", ""};
@@ -309,7 +329,9 @@
     }
 
     const load_plan& plan_;
-    const phase_observer& on_phase_;
+    const load_observer& observer_;
+    std::size_t reported_second_ = 0;
+    load_progress last_;
     uv_loop_t loop_{};
     uv_timer_t ticker_{};
     std::unique_ptr<http_client> client_;
@@ -329,21 +351,21 @@
 
 } // namespace
 
-load_result run_load(const load_plan& plan, const phase_observer& on_phase) {
+load_result run_load(const load_plan& plan, const load_observer& observer) {
     // Handles that are still closing refer to the runner until the process ends.
-    auto* runner = new load_runner(plan, on_phase);
+    auto* runner = new load_runner(plan, observer);
     return runner->run();
 }
 
 std::string to_text(const load_result& result) {
     std::string text =
-        fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>9} {:>9}\n", "kind", "offered", "completed",
-                    "not_run", "unknown", "p50_ms", "p99_ms");
+        fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9}\n", "kind", "offered",
+                    "completed", "not_run", "failed", "unknown", "p50_ms", "p99_ms");
     for (const auto& [kind, counts] : result.kinds) {
-        text +=
-            fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>9.2f} {:>9.2f}\n", kind, counts.offered,
-                        counts.completed, counts.not_run, counts.unknown,
-                        to_ms(counts.latency.quantile(0.5)), to_ms(counts.latency.quantile(0.99)));
+        text += fmt::format("{:<22} {:>8} {:>9} {:>9} {:>8} {:>8} {:>9.2f} {:>9.2f}\n", kind,
+                            counts.offered, counts.completed, counts.not_run, counts.failed,
+                            counts.unknown, to_ms(counts.latency.quantile(0.5)),
+                            to_ms(counts.latency.quantile(0.99)));
     }
     text += fmt::format("goodput={:.2f} recovery_s={:.1f} retries_per_request_max={} "
                         "table_in_force_s={:.2f}\n",
--- a/tools/trefoil-load/run_command.cpp
+++ b/tools/trefoil-load/run_command.cpp
@@ -22,10 +22,16 @@
         }
         return exit_bad_settings;
     }
-    const auto result = run_load(std::get<load_plan>(parsed), [](const planned_phase& phase) {
+    load_observer observer;
+    observer.on_phase = [](const planned_phase& phase) {
         fmt::print(stderr, "phase {}: {:.0f} s at {} times the rates\n", phase.name,
                    to_seconds(phase.length), phase.factor);
-    });
+    };
+    observer.on_second = [](const load_progress& p) {
+        fmt::print(stderr, "second {}: sent {}, completed {}, refused {}, failed {}\n", p.second,
+                   p.offered, p.completed, p.not_run, p.failed);
+    };
+    const auto result = run_load(std::get<load_plan>(parsed), observer);
     fmt::print("{}", to_text(result));
     return result.foreign_answers == 0 ? 0 : 1;
 }
