--- a/libs/documents/tests/duty_test.cpp
+++ b/libs/documents/tests/duty_test.cpp
@@ -120,7 +120,7 @@
     const auto fleet = whole_fleet();
     auto near = neighbours_of(0, fleet);
     const auto before = near.chosen();
-    const auto silent = before.front();
+    const auto& silent = before.front();
     for (int i = 0; i < 3; ++i) {
         near.asked(time_point(10s), silent);
     }
