--- a/libs/core/tests/retry_test.cpp
+++ b/libs/core/tests/retry_test.cpp
@@ -209,6 +209,8 @@
         site.run_for(1ms);
     }
     site.run_for(2s);
+    MESSAGE(requests << " requests, " << sends << " sends, " << site.runs_of_service("b")
+                     << " runs");
     CHECK(site.runs_of_service("b") > 40);
     CHECK(sends > requests);
     CHECK(sends < requests * 12 / 10);
--- /dev/null
+++ b/libs/once/bench/key_bench.cpp
@@ -0,0 +1,72 @@
+// Cost of idempotency keys: processor time of a key and memory of a kept request.
+#include <chrono>
+
+#include <malloc.h>
+
+#include <fmt/format.h>
+
+#include <trefoil/once/kept_runs.hpp>
+#include <trefoil/once/key_mint.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+constexpr int keys = 100'000;
+constexpr std::uint64_t records = 20'000;
+
+template <class Work>
+double microseconds_each(int times, Work work) {
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < times; ++i) {
+        work(i);
+    }
+    const std::chrono::duration<double, std::micro> spent =
+        std::chrono::steady_clock::now() - begin;
+    return spent.count() / times;
+}
+
+void measure_keys(std::size_t body_bytes) {
+    key_mint mint(std::string(32, 's'), {"127.0.0.1", 7001}, {17});
+    http_request request{"POST",
+                         "/payments",
+                         service_name("booking"),
+                         {},
+                         std::string(body_bytes, 'b'),
+                         "",
+                         "credentials-0123456789abcdef"};
+    const double issue =
+        microseconds_each(keys, [&](int i) { mint.issue(time_point(duration(i)), request); });
+    const auto key = mint.issue(time_point(5s), request);
+    int good = 0;
+    const double verify =
+        microseconds_each(keys, [&](int) { good += mint.verify(key, request) ? 1 : 0; });
+    const auto text = to_string(key);
+    const double parse = microseconds_each(
+        keys, [&](int) { good += parse_idempotency_key(text).has_value() ? 1 : 0; });
+    fmt::print("body {:>6} B: issue {:.2f} us, verify {:.2f} us, parse {:.2f} us ({} good)\n",
+               body_bytes, issue, verify, parse, good);
+}
+
+void measure_records() {
+    kept_runs<std::uint64_t> runs({600s, records, 16'000'000});
+    const auto before = mallinfo2().uordblks;
+    answer_info info;
+    info.result = outcome::completed;
+    for (std::uint64_t key = 1; key <= records; ++key) {
+        runs.begin(key);
+        runs.end(time_point(1s), key, {nullptr, info});
+    }
+    fmt::print("{} kept requests: {} B each beside their answers\n", records,
+               (mallinfo2().uordblks - before) / records);
+}
+
+} // namespace
+
+int main() {
+    for (const std::size_t bytes : {0, 1'000, 65'536}) {
+        measure_keys(bytes);
+    }
+    measure_records();
+    return 0;
+}
