Report service-level burn from nodes or saved scrapes

Multi-window burn rates by kind from the edge counters, the error budget left, refusals by reason and raised levels, as text, JSON and one page with plots.

--- /dev/null
+++ b/tools/trefoil-report/main.cpp
@@ -0,0 +1,149 @@
+// Reports service-level burn from nodes' admin listeners or from saved scrapes.
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/http/http_client.hpp>
+#include <trefoil/report/burn.hpp>
+#include <trefoil/settings/tool_main.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+struct report_options {
+    std::string table_file;
+    std::string saved_file;
+    std::string save_to;
+    std::string html_file;
+    duration interval = 10s;
+    std::uint64_t readings = 2;
+    bool json = false;
+};
+
+std::string read_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// Reads every node's /metrics again and again and gives the pages in the form of saved scrapes.
+class scraper {
+public:
+    scraper(std::vector<endpoint> nodes, const report_options& options)
+        : nodes_(std::move(nodes)), options_(options) {
+        uv_loop_init(&loop_);
+        uv_timer_init(&loop_, &pause_);
+        client_ = std::make_unique<http_client>(&loop_);
+    }
+
+    std::string run() {
+        const auto begin = uv_hrtime();
+        for (std::uint64_t i = 0; i < options_.readings; ++i) {
+            if (i > 0) {
+                wait();
+            }
+            read_all(static_cast<double>(uv_hrtime() - begin) / 1e9);
+        }
+        return std::move(text_);
+    }
+
+private:
+    void read_all(double at) {
+        std::size_t open = nodes_.size();
+        for (const auto& node : nodes_) {
+            const http_request request{"GET", "/metrics", service_name("admin"), {}, "", "", ""};
+            client_->send(node, request, {}, [&, name = to_string(node)](const exchange_result& r) {
+                --open;
+                const auto* answer = std::get_if<http_answer>(&r);
+                text_ += fmt::format("# scrape {} {:.3f}{}\n", name, at,
+                                     answer == nullptr ? " failed" : "");
+                text_ += answer == nullptr ? "" : answer->body;
+            });
+        }
+        while (open > 0) {
+            uv_run(&loop_, UV_RUN_ONCE);
+        }
+    }
+
+    void wait() {
+        bool is_over = false;
+        pause_.data = &is_over;
+        uv_update_time(&loop_);
+        uv_timer_start(
+            &pause_, [](uv_timer_t* timer) { *static_cast<bool*>(timer->data) = true; },
+            static_cast<std::uint64_t>(options_.interval / 1ms), 0);
+        while (!is_over) {
+            uv_run(&loop_, UV_RUN_ONCE);
+        }
+    }
+
+    std::vector<endpoint> nodes_;
+    const report_options& options_;
+    uv_loop_t loop_{};
+    uv_timer_t pause_{};
+    std::unique_ptr<http_client> client_;
+    std::string text_;
+};
+
+int print_report(const report_options& options, const std::string& scrapes) {
+    const auto parsed = parse_table(read_file(options.table_file));
+    if (const auto* errors = std::get_if<table_errors>(&parsed)) {
+        for (const auto& error : *errors) {
+            fmt::print(stderr, "{}: {}\n", options.table_file, to_string(error));
+        }
+        return exit_bad_settings;
+    }
+    if (!options.save_to.empty()) {
+        std::ofstream(options.save_to, std::ios::binary) << scrapes;
+    }
+    const auto report = make_report(parse_saved_scrapes(scrapes), std::get<table>(parsed));
+    if (!options.html_file.empty()) {
+        std::ofstream(options.html_file, std::ios::binary) << to_html(report);
+    }
+    fmt::print("{}", options.json ? to_json(report) : to_text(report));
+    return 0;
+}
+
+int run(const report_options& options, const run_program& program) {
+    if (!options.saved_file.empty()) {
+        return print_report(options, read_file(options.saved_file));
+    }
+    std::vector<endpoint> nodes;
+    for (const auto& text : program.positional) {
+        const auto node = parse_endpoint(text);
+        if (!node.ok()) {
+            fmt::print(stderr, "{}\n", std::string(node.status().message()));
+            return exit_bad_settings;
+        }
+        nodes.push_back(*node);
+    }
+    if (nodes.empty()) {
+        fmt::print(stderr, "admin addresses of nodes or --saved FILE are needed; see --help\n");
+        return exit_bad_settings;
+    }
+    return print_report(options, scraper(std::move(nodes), options).run());
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    report_options report;
+    option_set options("trefoil-report",
+                       "service-level burn; arguments are nodes' admin addresses");
+    options.add_text("table", &report.table_file, "file with the table that has the objectives",
+                     true);
+    options.add_text("saved", &report.saved_file, "file of saved scrapes to read instead of nodes",
+                     false);
+    options.add_text("save", &report.save_to, "file to write the scrapes to", false);
+    options.add_text("html", &report.html_file, "file to write a page with plots to", false);
+    options.add_milliseconds("interval", &report.interval, 10, 3'600'000, "time between readings");
+    options.add_count("readings", &report.readings, 2, 100'000, "readings",
+                      "readings of each node");
+    options.add_switch("json", &report.json, "prints JSON instead of text");
+    return tool_main(options, argc, argv,
+                     [&](const run_program& program) { return run(report, program); });
+}
