Fuzz what outsiders send

The table, the instance list, the platform's answer, the headers of calls and the control messages come from outside; nothing tried random bytes on them. Long runs with libFuzzer: not yet made.

--- /dev/null
+++ b/tests/fuzz/control_fuzz.cpp
@@ -0,0 +1,18 @@
+#include <cstdint>
+#include <cstdlib>
+
+#include <trefoil/wire/codec.hpp>
+
+using namespace trefoil;
+
+/// A control message is read or refused; what is read passes on unchanged.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const auto message = decode_control({reinterpret_cast<const char*>(data), size});
+    if (message.ok()) {
+        const auto again = decode_control(encode_control(*message));
+        if (!again.ok() || *again != *message) {
+            std::abort();
+        }
+    }
+    return 0;
+}
