Linger after a stop so that unread calls are refused, not cut off

A stopped node without calls now exits 500 ms after the stop; what comes in that time is refused not_run. Ruled out: the drain limit, which only ends calls that the node knows.

--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -20,6 +20,10 @@
 /// Ids of calls that a node makes to its own target; above the shell's.
 constexpr std::uint64_t local_call_bit = 1ULL << 63U;
 
+/// Least time from a stop to the exit, in which calls that are on their way or wait unread are
+/// refused as not run instead of being cut off.
+constexpr duration stop_linger = 500ms;
+
 call_id local_call(attempt_id attempt) {
     return {attempt.value | local_call_bit};
 }
@@ -224,6 +228,7 @@
         }
         state_.stop_was_requested = true;
         stop_at_ = state_.now + state_.settings.drain_limit;
+        exit_from_ = state_.now + stop_linger;
         state_.log(log_event::node_stopping, {{"calls", std::to_string(calls())}});
         state_.members.announce_leaving(state_.settings.self);
         pass_on(leaving_notice{state_.settings.self, state_.settings.incarnation});
@@ -294,7 +299,8 @@
         if (limit_reached && calls() > 0) {
             state_.log(log_event::drain_limit_reached, {{"calls", std::to_string(calls())}});
         }
-        if (limit_reached || calls() == 0) {
+        const bool has_lingered = state_.now >= exit_from_;
+        if (limit_reached || (calls() == 0 && has_lingered)) {
             has_exited_ = true;
             state_.log(log_event::node_stopped, {});
             state_.out.emplace_back(exit_process{calls() == 0 ? 0 : 1});
@@ -373,6 +379,9 @@
         }
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
+            if (state_.now < exit_from_) {
+                consider(exit_from_);
+            }
         }
         if (wake && wake != armed_ && !has_exited_) {
             armed_ = wake;
@@ -396,6 +405,7 @@
     chain_observer chain_{state_};
     std::optional<time_point> armed_;
     time_point stop_at_;
+    time_point exit_from_;
     bool has_exited_ = false;
 };
 
