--- a/libs/faults/tests/fuzz_test.cpp
+++ b/libs/faults/tests/fuzz_test.cpp
@@ -12,3 +12,25 @@
         }
     }
 }
+
+TEST_CASE("a stop of a paused process doesn't cut off a request that waits unread") {
+    const std::vector<command> commands = {{command_type::pause, 1, 0},
+                                           {command_type::stop, 1, 0},
+                                           {command_type::submit, 1, 0},
+                                           {command_type::advance, 2, 0}};
+    CHECK(replay(1, commands).empty());
+}
+
+TEST_CASE("instances that are all stopped and started again serve again") {
+    const std::vector<command> commands = {{command_type::stop, 2, 0}, {command_type::stop, 3, 0}};
+    CHECK(replay(1, commands).empty());
+}
+
+TEST_CASE("an instance that was listed as leaving and is listed as live again gets work again") {
+    const std::vector<command> commands = {{command_type::cut, 2, 3},
+                                           {command_type::advance, 6, 0},
+                                           {command_type::submit, 3, 0},
+                                           {command_type::list_leaving, 0, 0},
+                                           {command_type::list_leaving, 1, 0}};
+    CHECK(replay(1, commands).empty());
+}
