--- a/tests/fuzz/context_fuzz.cpp
+++ b/tests/fuzz/context_fuzz.cpp
@@ -6,6 +6,7 @@
 using namespace trefoil;
 
 /// A header of a call or an answer is read or refused; what is read passes on unchanged.
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string_view text(reinterpret_cast<const char*>(data), size);
     const auto context = decode_context(text);
--- a/tests/fuzz/control_fuzz.cpp
+++ b/tests/fuzz/control_fuzz.cpp
@@ -6,6 +6,7 @@
 using namespace trefoil;
 
 /// A control message is read or refused; what is read passes on unchanged.
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const auto message = decode_control({reinterpret_cast<const char*>(data), size});
     if (message.ok()) {
--- a/tests/fuzz/corpus_main.cpp
+++ b/tests/fuzz/corpus_main.cpp
@@ -9,6 +9,7 @@
 
 #include <trefoil/base/random.hpp>
 
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
 namespace {
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -6,6 +6,7 @@
 using namespace trefoil;
 
 /// The first byte picks the status, the first line is the revision, the rest the body.
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     if (size == 0) {
         return 0;
