Find table rows by kind, service and first segment, and measure events a second

Cause: match() and find() walked all rows, and levels were looked through on every answer. Change: two indexes in the table; a look at most every 20 ms a peer.

--- a/libs/admission/include/trefoil/admission/chain_levels.hpp
+++ b/libs/admission/include/trefoil/admission/chain_levels.hpp
@@ -74,16 +74,16 @@
                 break;
             }
         }
-        if (!told.empty()) {
-            entry.told_at = now;
-            entry.was_told = true;
-        }
+        entry.next_at = now + (told.empty() ? check_interval : report_interval);
         return told;
     }
 
 private:
     /// Most levels in one answer.
     static constexpr std::size_t max_levels = 24;
+    static constexpr duration report_interval = 250ms;
+    /// Time between two looks for something to report.
+    static constexpr duration check_interval = 20ms;
 
     struct kind_state {
         std::uint32_t priority = 0;
@@ -91,8 +91,8 @@
     };
     struct peer_state {
         std::map<std::string, kind_state> kinds;
-        time_point told_at;
-        bool was_told = false;
+        /// Earliest time of the next report.
+        time_point next_at;
     };
 
     /// The threshold, or admit_all if it is above all requests of the priority.
--- a/libs/admission/src/chain_levels.cpp
+++ b/libs/admission/src/chain_levels.cpp
@@ -6,7 +6,6 @@
 namespace trefoil {
 namespace {
 
-constexpr duration report_interval = 250ms;
 /// A level that was heard this long ago begins to rise, at recovery speed 0 and 1.
 constexpr duration longest_hold = 1s;
 constexpr duration shortest_hold = 250ms;
@@ -65,8 +64,7 @@
 
 bool level_reports::is_due(time_point now, incarnation_id peer) const {
     const auto found = peers_.find(peer);
-    return found != peers_.end() &&
-           (!found->second.was_told || now - found->second.told_at >= report_interval);
+    return found != peers_.end() && now >= found->second.next_at;
 }
 
 std::uint32_t level_reports::without_need(std::uint32_t priority, std::uint32_t threshold) {
--- a/libs/admission/tests/admission_level_test.cpp
+++ b/libs/admission/tests/admission_level_test.cpp
@@ -124,6 +124,8 @@
     time_point now{1s};
     reports.called(peer, "read", 2);
     CHECK(reports.report(now, peer, [](const std::string&) { return admit_all; }).empty());
+    now += 20ms;
+    CHECK(reports.is_due(now, peer));
     const auto told = reports.report(now, peer, [](const std::string&) { return 600U; });
     CHECK(told == std::vector<kind_level>{{"read", 600}});
     CHECK_FALSE(reports.is_due(now + 249ms, peer));
--- a/libs/table/include/trefoil/table/table.hpp
+++ b/libs/table/include/trefoil/table/table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -84,11 +85,23 @@
 
     const std::vector<table_row>& rows() const { return rows_; }
 
-    friend bool operator==(const table&, const table&) = default;
+    friend bool operator==(const table& a, const table& b) { return a.rows_ == b.rows_; }
 
 private:
+    /// Places of rows in ascending order.
+    using places = std::vector<std::size_t>;
+
+    void add_to_index(std::size_t place);
+    /// The first of the places, below `limit`, whose row matches; else `limit`.
+    std::size_t first_match(const std::string& key, const service_name& service,
+                            std::string_view method, std::string_view path,
+                            std::size_t limit) const;
+
     std::vector<table_row> rows_;
     std::size_t default_index_ = 0;
+    std::unordered_map<std::string, std::size_t> by_kind_;
+    /// Rows by their service and the first segment of their path.
+    std::unordered_map<std::string, places> by_first_leg_;
 };
 
 /// Every error of a refused table, in the order of the text.
--- a/libs/table/src/table.cpp
+++ b/libs/table/src/table.cpp
@@ -20,6 +20,24 @@
     return segment;
 }
 
+constexpr std::string_view any = "*";
+
+// The first segment of a path or a pattern; `*` for a pattern that leaves it open.
+std::string_view first_segment(std::string_view path) {
+    if (path.starts_with('/')) {
+        path.remove_prefix(1);
+    }
+    const auto segment = path.substr(0, path.find('/'));
+    return segment == "**" ? any : segment;
+}
+
+std::string index_key(std::string_view service, std::string_view segment) {
+    std::string key(service);
+    key += '/';
+    key += segment;
+    return key;
+}
+
 } // namespace
 
 bool path_matches(std::string_view pattern, std::string_view path) {
@@ -68,24 +86,53 @@
         std::abort();
     }
     default_index_ = static_cast<std::size_t>(found - rows_.begin());
+    for (std::size_t i = 0; i < rows_.size(); ++i) {
+        add_to_index(i);
+    }
+}
+
+void table::add_to_index(std::size_t place) {
+    const auto& row = rows_[place];
+    by_kind_.emplace(row.kind, place);
+    if (place != default_index_) {
+        by_first_leg_[index_key(row.service, first_segment(row.path))].push_back(place);
+    }
 }
 
 const table_row& table::match(const service_name& service, std::string_view method,
                               std::string_view path) const {
-    for (std::size_t i = 0; i < rows_.size(); ++i) {
-        const auto& row = rows_[i];
-        if (i != default_index_ && cell_matches(row.service, service.str()) &&
-            cell_matches(row.method, method) && path_matches(row.path, path)) {
-            return row;
+    const auto segment = first_segment(path.substr(0, path.find('?')));
+    std::size_t first = rows_.size();
+    for (const auto& key : {index_key(service.str(), segment), index_key(service.str(), any),
+                            index_key(any, segment), index_key(any, any)}) {
+        first = first_match(key, service, method, path, first);
+    }
+    return first < rows_.size() ? rows_[first] : rows_[default_index_];
+}
+
+std::size_t table::first_match(const std::string& key, const service_name& service,
+                               std::string_view method, std::string_view path,
+                               std::size_t limit) const {
+    const auto found = by_first_leg_.find(key);
+    if (found == by_first_leg_.end()) {
+        return limit;
+    }
+    for (const auto place : found->second) {
+        const auto& row = rows_[place];
+        if (place >= limit) {
+            break;
+        }
+        if (cell_matches(row.service, service.str()) && cell_matches(row.method, method) &&
+            path_matches(row.path, path)) {
+            return place;
         }
     }
-    return rows_[default_index_];
+    return limit;
 }
 
 const table_row* table::find(std::string_view kind) const {
-    const auto found = std::find_if(rows_.begin(), rows_.end(),
-                                    [&](const table_row& row) { return row.kind == kind; });
-    return found == rows_.end() ? nullptr : &*found;
+    const auto found = by_kind_.find(std::string(kind));
+    return found == by_kind_.end() ? nullptr : &rows_[found->second];
 }
 
 const table_row& table::row_or_default(std::string_view kind) const {
--- a/libs/table/tests/table_test.cpp
+++ b/libs/table/tests/table_test.cpp
@@ -66,3 +66,17 @@
     CHECK(refused("nonsense").front().line == 1);
     CHECK(refused(header + default_row + std::string(max_table_bytes, '\n')).size() >= 1);
 }
+
+TEST_CASE("the first matching row counts, whichever cells it leaves open") {
+    const auto rows =
+        accepted(header + "a,*,*,/x/**,1,1,500,0,5,no,1,99\n" + "b,s,*,/x/y,1,1,500,0,5,no,1,99\n" +
+                 "c,s,GET,*,1,1,500,0,5,no,1,99\n" + "d,s,*,/*/z,1,1,500,0,5,no,1,99\n" +
+                 "e,*,PUT,*,1,1,500,0,5,no,1,99\n" + default_row);
+    CHECK(rows.match(service_name("s"), "GET", "/x/y").kind == "a");
+    CHECK(rows.match(service_name("s"), "GET", "/y/z").kind == "c");
+    CHECK(rows.match(service_name("s"), "PUT", "/y/z").kind == "d");
+    CHECK(rows.match(service_name("t"), "PUT", "/y/z").kind == "e");
+    CHECK(rows.match(service_name("t"), "POST", "/y/z").kind == "default");
+    CHECK(rows.find("d")->path == "/*/z");
+    CHECK(rows.find("none") == nullptr);
+}
--- a/tools/trefoil-load/commands.hpp
+++ b/tools/trefoil-load/commands.hpp
@@ -12,4 +12,7 @@
 /// Compares a target's latency with and without two nodes in between.
 int compare_command(int argc, char** argv);
 
+/// Measures events a second through one core.
+int bench_core_command(int argc, char** argv);
+
 } // namespace trefoil
--- a/tools/trefoil-load/main.cpp
+++ b/tools/trefoil-load/main.cpp
@@ -22,6 +22,7 @@
         {"run", {run_command, "sends the requests of a plan to running nodes"}},
         {"experiment",
          {experiment_command, "compares policies under overload and faults on a paused clock"}},
+        {"bench-core", {bench_core_command, "measures events a second through one core"}},
         {"compare", {compare_command, "measures the latency that two nodes add"}},
     };
     return all;
