--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -11,6 +11,8 @@
 #include <trefoil/membership/membership.hpp>
 #include <trefoil/once/kept_runs.hpp>
 #include <trefoil/quarantine/suspect_list.hpp>
+#include <trefoil/retry/retry_budget.hpp>
+#include <trefoil/retry/retry_ledger.hpp>
 #include <trefoil/routing/router.hpp>
 #include <trefoil/table/table.hpp>
 #include <trefoil/telemetry/call_metrics.hpp>
@@ -25,6 +27,11 @@
     region_name region;
     /// Where other nodes reach this one.
     endpoint peer_address;
+    /// Where other nodes send control messages to.
+    endpoint control_address;
+    /// Nodes that the fleet is planned for; spreads the reads of nodes that know no list yet.
+    std::size_t planned_nodes = 10;
+    exchange_mechanisms document_mechanisms;
     /// Chosen at random for each run of the process.
     incarnation_id incarnation;
     /// Secret of this run of the process, by which it knows the idempotency keys that it gave out.
@@ -32,6 +39,9 @@
     /// Bounds of what is kept of requests that must not be repeated. A key may be used for the
     /// first time within the same lifetime after its issue.
     kept_limits kept_once;
+    /// How many retry tokens go down with a call.
+    lending lends = lending::by_fan_out;
+    retry_budget_settings retry_budget;
     admission_settings admission;
     routing_settings routing;
     quarantine_settings quarantine;
--- a/libs/core/src/inbound_calls.cpp
+++ b/libs/core/src/inbound_calls.cpp
@@ -96,10 +96,15 @@
 
 void inbound_calls::apply_quarantine() {
     for (const auto& change : state_.gate.take_changes(state_.now)) {
+        // The end of a former one may have ended others.
+        const auto found = calls_.find(change.call);
+        if (found == calls_.end()) {
+            continue;
+        }
         auto reason = refusal::none;
         switch (change.verdict) {
         case gate_verdict::pass:
-            reason = offer(change.call, calls_.at(change.call));
+            reason = offer(change.call, found->second);
             break;
         case gate_verdict::hold:
             state_.admitter.withdraw(change.call);
@@ -126,6 +131,7 @@
         state_.out.emplace_back(cancel_attempt{entry.attempt});
         by_attempt_.erase(entry.attempt);
         state_.ledger.close(call);
+        state_.lost_parents.push_back(call);
         state_.admitter.finished(state_.now, call,
                                  {state_.now - entry.handed_at, service_end::given_up});
     } else {
@@ -135,15 +141,24 @@
 }
 
 void inbound_calls::target_answered(attempt_id attempt, const answer_ptr& answer,
-                                    const answer_info&) {
+                                    const answer_info& declared) {
     const auto found = by_attempt_.find(attempt);
     if (found == by_attempt_.end()) {
         return;
     }
     const auto call = found->second;
+    // A target that has called others for it has run a part of it, whatever it declares.
+    if (declared.result == outcome::not_run && !state_.ledger.has_calls(call)) {
+        auto info =
+            refused(refusal::overload, state_.ledger.close(call), state_.settings.incarnation);
+        info.load = state_.admitter.load();
+        state_.gate.ended(state_.now, call, run_end::given_up);
+        finish_at_target(call, {nullptr, info}, service_end::shed);
+        return;
+    }
     answer_info info;
     info.result = outcome::completed;
-    info.unused_tokens = state_.ledger.close(call);
+    info.unused_tokens = state_.ledger.retire(state_.now, call);
     info.incarnation = state_.settings.incarnation;
     info.load = state_.load_reports.take(state_.now, state_.admitter.load());
     const auto seen = service_end_of(answer->status);
@@ -158,6 +173,7 @@
         return;
     }
     const auto call = found->second;
+    state_.lost_parents.push_back(call);
     answer_info info =
         refused(reason_of(failure), state_.ledger.close(call), state_.settings.incarnation);
     if (failure != attempt_failure::not_sent) {
@@ -195,7 +211,14 @@
 
 void inbound_calls::advance() {
     time_out_in_flight();
+    if (state_.must_refuse_waiting()) {
+        refuse_waiting(refusal::leaving);
+    }
+    if (state_.pause.holds_hand_offs(state_.now)) {
+        return;
+    }
     apply_quarantine();
+    state_.ledger.expire(state_.now);
     for (const auto& change : state_.admitter.advance(state_.now)) {
         if (change.reason == refusal::none) {
             hand_to_target(change.call);
@@ -205,13 +228,28 @@
     }
 }
 
+void inbound_calls::refuse_waiting(refusal reason) {
+    std::vector<call_id> waiting;
+    for (const auto& [call, entry] : calls_) {
+        if (!entry.is_in_flight()) {
+            waiting.push_back(call);
+        }
+    }
+    for (const auto call : waiting) {
+        if (calls_.contains(call)) {
+            state_.admitter.withdraw(call);
+            refuse(call, reason);
+        }
+    }
+}
+
 void inbound_calls::hand_to_target(call_id call) {
     auto& entry = calls_.at(call);
     entry.attempt = state_.next_attempt();
     entry.handed_at = state_.now;
     state_.gate.handed(state_.now, call);
     by_attempt_.emplace(entry.attempt, call);
-    state_.ledger.open(call, entry.context.retry_tokens);
+    state_.ledger.open(call, entry.context.retry_tokens, entry.context.kind);
     auto context = entry.context;
     context.remaining = entry.deadline - state_.now;
     context.parent_call = call;
@@ -262,7 +300,8 @@
 }
 
 std::optional<time_point> inbound_calls::next_wake() const {
-    auto wake = state_.admitter.next_deadline();
+    const bool is_holding = state_.pause.holds_hand_offs(state_.now);
+    auto wake = is_holding ? std::nullopt : state_.admitter.next_deadline();
     if (!deadlines_.empty()) {
         const auto first = deadlines_.begin()->first;
         wake = wake ? std::min(*wake, first) : first;
--- a/libs/core/src/inbound_calls.hpp
+++ b/libs/core/src/inbound_calls.hpp
@@ -42,7 +42,7 @@
     void abandon(call_id call);
     /// True if the attempt is one at the own target.
     bool owns(attempt_id attempt) const { return by_attempt_.contains(attempt); }
-    void target_answered(attempt_id attempt, const answer_ptr& answer, const answer_info& info);
+    void target_answered(attempt_id attempt, const answer_ptr& answer, const answer_info& declared);
     void target_failed(attempt_id attempt, attempt_failure failure);
     /// Hands on, refuses and times out what is due.
     void advance();
@@ -73,6 +73,7 @@
     refusal enter(call_id call, const inbound_call& entry);
     refusal offer(call_id call, const inbound_call& entry);
     void apply_quarantine();
+    void refuse_waiting(refusal reason);
     void hand_to_target(call_id call);
     void finish_at_target(call_id call, const call_end& end, service_end seen);
     void log_loss(const inbound_call& entry);
--- a/libs/experiment/include/trefoil/experiment/experiment.hpp
+++ b/libs/experiment/include/trefoil/experiment/experiment.hpp
@@ -29,6 +29,9 @@
     experiment_policy policy = experiment_policy::full;
     /// Switches of policy full.
     admission_policy parts;
+    bool ejection = true;
+    bool quarantine = true;
+    bool spill_bound = true;
     /// Factor on the normal rate during the trigger.
     double surge = 1;
     /// Services that are slow during the trigger, with the factor on their computations.
@@ -83,7 +86,8 @@
     std::optional<duration> recovery;
     /// Share of the targets' slot time that went to requests that did not complete.
     double wasted_work = 0;
-    /// Runs of the same call of one whole request at targets, beyond the first.
+    /// Runs of calls of one whole request at targets, beyond those that the runs of their callers
+    /// call for.
     std::uint64_t max_retries = 0;
     double mean_retries = 0;
     /// Seconds at one target, from the trigger's second one on, in which it refused a kind that is
--- a/libs/experiment/include/trefoil/experiment/site.hpp
+++ b/libs/experiment/include/trefoil/experiment/site.hpp
@@ -73,11 +73,6 @@
                            const service_name& service, const std::string& path,
                            std::map<std::string, duration>& held);
 
-/// Adds the number of times that each call, named `SERVICE PATH`, is made for one request whose
-/// first leg is this call.
-void add_calls(const site& where, const service_name& service, const std::string& path,
-               std::map<std::string, std::uint64_t>& calls);
-
 /// The body that a complete answer to the call has, up to the order of parallel calls.
 std::string expected_answer(const site& where, const service_name& service, const std::string& path,
                             const std::string& body);
--- a/libs/experiment/src/site.cpp
+++ b/libs/experiment/src/site.cpp
@@ -151,14 +151,6 @@
     return own;
 }
 
-void add_calls(const site& where, const service_name& service, const std::string& path,
-               std::map<std::string, std::uint64_t>& calls) {
-    ++calls[service.str() + " " + path];
-    for (const auto& child : work_at(where, service, path).children) {
-        add_calls(where, child.service, child.path, calls);
-    }
-}
-
 std::string expected_answer(const site& where, const service_name& service, const std::string& path,
                             const std::string& body) {
     std::string children;
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -56,6 +56,8 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    pid_t pid() const { return pid_; }
+
     void signal(int number) const { ::kill(pid_, number); }
 
     bool is_running() {
@@ -190,8 +192,10 @@
         }
         for (const auto& [name, m] : members_) {
             wait_until([&, node = name] {
-                return status_of(node).find(fmt::format("\"members\":{}", members_.size())) !=
-                       std::string::npos;
+                const auto status = status_of(node);
+                const auto all_members = fmt::format("\"members\":{}", members_.size());
+                return status.find(all_members) != std::string::npos &&
+                       status.find(R"("table":{"revision":0,)") == std::string::npos;
             });
         }
     }
@@ -201,14 +205,29 @@
         REQUIRE(exchange(operate_, request).has_value());
     }
 
+    /// Lines that every list has besides the site's own members.
+    void list_besides(std::string lines) { other_members_ = std::move(lines); }
+
     void publish_members(const std::vector<std::string>& leaving = {}) {
         publish("instances", member_text(leaving));
     }
 
+    /// Calls that the platform has counted so far.
+    std::string platform_calls() {
+        const auto answer = get(operate_, "/calls");
+        return answer ? answer->body : "";
+    }
+
     void set_platform_mode(const std::string& mode) {
         REQUIRE(get(operate_, "/mode/" + mode).has_value());
     }
 
+    /// Calls that the platform's stand-in has counted.
+    std::uint64_t platform_call_count() {
+        const auto answer = get(operate_, "/calls");
+        return answer ? std::strtoull(answer->body.c_str(), nullptr, 10) : 0;
+    }
+
     /// A caller's request; nothing if no complete answer came.
     std::optional<http_answer> call(const std::string& name, const std::string& method,
                                     const std::string& path, const std::string& body,
@@ -249,11 +268,14 @@
     }
 
     /// Sends without waiting; `done` is called while the loop runs.
-    void send(const std::string& name, const http_request& request,
-              http_client::done_handler done) {
-        client_->send(address(name, "caller"), request, {}, std::move(done));
+    http_client::request_id send(const std::string& name, const http_request& request,
+                                 http_client::done_handler done) {
+        return client_->send(address(name, "caller"), request, {}, std::move(done));
     }
 
+    /// Closes the connection of a request that was sent.
+    void cancel(http_client::request_id sent) { client_->cancel(sent); }
+
     void run_loop_once() { uv_run(loop_, UV_RUN_ONCE); }
 
     /// Runs the loop until the condition holds. Fails after a limit that no working system needs.
@@ -300,7 +322,7 @@
     }
 
     std::string member_text(const std::vector<std::string>& leaving) const {
-        std::string text = std::string(member_header) + "\n";
+        std::string text = std::string(member_header) + "\n" + other_members_;
         for (const auto& [name, m] : members_) {
             const bool is_leaving =
                 std::find(leaving.begin(), leaving.end(), name) != leaving.end();
@@ -325,6 +347,7 @@
     endpoint platform_;
     endpoint operate_;
     std::map<std::string, site_member> members_;
+    std::string other_members_;
     std::map<std::string, std::map<std::string, endpoint>> addresses_;
     std::optional<child_process> platform_process_;
     std::map<std::string, child_process> nodes_;
