--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -269,7 +269,8 @@
     template <class Other>
     void note_digest(const Other&) {}
 
-    void on(const timer_fired&) {}
+    // The timer may have come too early; the next one is armed anew.
+    void on(const timer_fired&) { armed_.reset(); }
 
     std::size_t calls() const { return inbound_.size() + outbound_.size() + once_.size(); }
 
@@ -373,7 +374,7 @@
         if (state_.stop_was_requested && !has_exited_) {
             consider(stop_at_);
         }
-        if (wake && wake != armed_) {
+        if (wake && wake != armed_ && !has_exited_) {
             armed_ = wake;
             state_.out.emplace_back(arm_timer{*wake});
         }
