--- a/libs/experiment/include/trefoil/experiment/experiment.hpp
+++ b/libs/experiment/include/trefoil/experiment/experiment.hpp
@@ -86,7 +86,8 @@
     std::optional<duration> recovery;
     /// Share of the targets' slot time that went to requests that did not complete.
     double wasted_work = 0;
-    /// Runs of the same call of one whole request at targets, beyond the first.
+    /// Runs of calls of one whole request at targets, beyond those that the runs of their callers
+    /// call for.
     std::uint64_t max_retries = 0;
     double mean_retries = 0;
     /// Seconds at one target, from the trigger's second one on, in which it refused a kind that is
--- a/libs/experiment/src/run_experiment.cpp
+++ b/libs/experiment/src/run_experiment.cpp
@@ -71,11 +71,6 @@
 
 private:
     using call_counts = std::map<std::string, std::uint64_t>;
-    /// Runs of one whole request at targets.
-    struct request_runs {
-        std::string kind;
-        call_counts calls;
-    };
     struct kind_counts {
         std::uint64_t refused = 0;
         std::uint64_t handed_on = 0;
@@ -135,9 +130,7 @@
     void watch() {
         fleet_.observe_runs([this](const instance_id& instance, const http_request& request,
                                    const call_context& context) {
-            auto& runs = runs_[context.request];
-            runs.kind = context.kind;
-            ++runs.calls[fmt::format("{} {}", service_of(instance), request.path)];
+            ++runs_[context.request][fmt::format("{} {}", service_of(instance), request.path)];
         });
         fleet_.observe_actions([this](const instance_id& instance, const action& what) {
             const auto* attempt = std::get_if<start_attempt>(&what);
@@ -324,19 +317,29 @@
         return all > 0us ? 1.0 - to_seconds(useful) / to_seconds(all) : 0;
     }
 
-    void count_retries(experiment_result& result, std::size_t requests) const {
-        std::map<std::string, call_counts> wanted;
-        for (const auto& kind : site_.kinds) {
-            add_calls(site_, service_name(kind.row.service), kind.path, wanted[kind.row.kind]);
+    /// Runs beyond those that the runs of their callers call for. The first leg is called for once.
+    std::uint64_t retries_of(const call_counts& runs) const {
+        call_counts wanted;
+        for (const auto& [call, count] : runs) {
+            const auto space = call.find(' ');
+            const service_name service(call.substr(0, space));
+            for (const auto& child : work_at(site_, service, call.substr(space + 1)).children) {
+                wanted[child.service.str() + " " + child.path] += count;
+            }
+        }
+        std::uint64_t retries = 0;
+        for (const auto& [call, count] : runs) {
+            const auto found = wanted.find(call);
+            const auto expected = found == wanted.end() ? 1 : found->second;
+            retries += count > expected ? count - expected : 0;
         }
+        return retries;
+    }
+
+    void count_retries(experiment_result& result, std::size_t requests) const {
         std::uint64_t total = 0;
         for (const auto& [request, runs] : runs_) {
-            std::uint64_t retries = 0;
-            for (const auto& [call, count] : runs.calls) {
-                const auto found = wanted[runs.kind].find(call);
-                const auto expected = found == wanted[runs.kind].end() ? 1 : found->second;
-                retries += count > expected ? count - expected : 0;
-            }
+            const auto retries = retries_of(runs);
             total += retries;
             result.max_retries = std::max(result.max_retries, retries);
         }
@@ -350,7 +353,7 @@
     time_point begin_;
     time_point end_;
     std::uint64_t inversions_ = 0;
-    std::unordered_map<request_id, request_runs> runs_;
+    std::unordered_map<request_id, call_counts> runs_;
     std::unordered_map<std::string, duration> held_;
     std::map<instance_id, std::map<std::string, std::uint64_t>> handed_on_;
     std::map<instance_id, std::map<std::string, kind_counts>> before_;
