--- a/libs/core/tests/pause_test.cpp
+++ b/libs/core/tests/pause_test.cpp
@@ -136,3 +136,44 @@
     site.run_for(3s);
     CHECK(site.count_records(log_event::instance_ejected) == 0);
 }
+
+TEST_CASE("after a long gap the list is confirmed before a call is handed to the target") {
+    test_site site(work_of);
+    const auto caller_side = site.add("e", "d2", 1);
+    const auto target_side = site.add("b", "d1", 1);
+    site.fleet.network().other_domain_latency = 10ms;
+    site.fleet.network().platform_latency = 25ms;
+    site.begin(0, 60000);
+    call_counts counts;
+    site.send(caller_side, "b", "/late", counts);
+    site.run_for(9ms);
+    site.fleet.pause(target_side);
+    site.fleet.cut("d1", virtual_fleet::platform_domain);
+    site.fleet.network().control_loss = 1;
+    site.run_for(3s);
+    site.fleet.publish_members({target_side});
+    site.run_for(3s);
+    site.fleet.network().control_loss = 0;
+    site.fleet.heal_all();
+    site.fleet.resume(target_side);
+    site.run_for(3s);
+    CHECK(site.runs.empty());
+    CHECK(counts.not_run == 1);
+}
+
+TEST_CASE("a node that nobody answers after a long gap goes on serving") {
+    test_site site(work_of);
+    const auto caller_side = site.add("e", "d1", 1);
+    const auto target_side = site.add("b", "d1", 1);
+    site.begin(0, 60000);
+    call_counts counts;
+    site.send(caller_side, "b", "/x", counts);
+    site.run_for(8ms);
+    site.fleet.pause(target_side);
+    site.fleet.cut("d1", virtual_fleet::platform_domain);
+    site.fleet.network().control_loss = 1;
+    site.run_for(6s);
+    site.fleet.resume(target_side);
+    site.run_for(1s);
+    CHECK(counts.completed == 1);
+}
