--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -244,13 +244,13 @@
         --open_;
         auto& counts = result_.kinds[kind.kind];
         const auto elapsed = wall_now() - request.sent;
-        if (answer == nullptr) {
-            ++counts.unknown;
-        } else if (answer->status < first_error_status) {
+        const auto said = answer == nullptr ? std::string_view()
+                                            : find_header(answer->headers, "trefoil-outcome");
+        if (answer != nullptr && answer->status < first_error_status) {
             record_answer(counts, request, *answer, elapsed, kind.deadline);
-        } else if (find_header(answer->headers, "trefoil-outcome") == "not_run") {
+        } else if (said == "not_run") {
             ++counts.not_run;
-        } else if (find_header(answer->headers, "trefoil-outcome") == "completed") {
+        } else if (said == "completed") {
             ++counts.failed;
         } else {
             ++counts.unknown;
