Log the admission level, clearings and bad answers; drop what nothing uses

Four events of the catalogue were never logged: level_raised, level_cleared, request_cleared and bad_platform_answer. Proxied answers gathered a date and a server field at each hop; each sender writes its own, which http_test checks.

--- a/libs/core/include/trefoil/core/events.hpp
+++ b/libs/core/include/trefoil/core/events.hpp
@@ -31,9 +31,8 @@
     request_ptr request;
     /// From the context header (peer) or the baggage (app).
     std::optional<call_context> context;
-    /// Whose attempt it is, for cancel_notice; set on the peer listener.
+    /// The run of the node that sends it; set on the peer listener.
     incarnation_id sender;
-    attempt_id sender_attempt;
 
     friend bool operator==(const call_arrived&, const call_arrived&) = default;
 };
--- a/libs/core/src/node_core.cpp
+++ b/libs/core/src/node_core.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <trefoil/admission/admission_position.hpp>
 #include <trefoil/base/error.hpp>
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/membership/member_list.hpp>
@@ -212,7 +213,6 @@
                            }
                        },
                        [&](const suspect_notice& notice) { state_.gate.heard(state_.now, notice); },
-                       [&](const cancel_notice&) {},
                        [&](const auto& message) {
                            apply(documents_.on_message(state_.now, e.from, e.message));
                            note_digest(message);
@@ -338,6 +338,18 @@
         documents_.members_changed(state_.now, state_.members);
     }
 
+    // Logs when the admission level begins to refuse and when it has ended.
+    void log_level() {
+        const auto threshold = state_.admitter.threshold();
+        const bool refuses = threshold < admit_all;
+        if (refuses == level_is_raised_) {
+            return;
+        }
+        level_is_raised_ = refuses;
+        state_.log(refuses ? log_event::level_raised : log_event::level_cleared,
+                   {{"threshold", std::to_string(threshold)}});
+    }
+
     void log_ejections() {
         for (const auto& change : state_.route.take_changes()) {
             if (change.is_ejected) {
@@ -350,8 +362,19 @@
         }
     }
 
+    void log_cleared(const suspect_notice& notice) {
+        if (notice.state != suspicion::cleared) {
+            return;
+        }
+        for (const auto request : notice.fingerprints) {
+            state_.log(log_event::request_cleared,
+                       {{"fingerprint", fmt::format("{:016x}", request)}});
+        }
+    }
+
     void send_notices() {
         for (const auto& notice : state_.gate.take_notices(state_.now)) {
+            log_cleared(notice);
             for (const auto& peer :
                  nearest_of_service(state_.members, state_.settings.self, state_.settings.service,
                                     {state_.settings.domain, state_.settings.region})) {
@@ -361,6 +384,7 @@
     }
 
     actions finish_step() {
+        log_level();
         log_ejections();
         send_notices();
         std::optional<time_point> wake;
@@ -407,6 +431,7 @@
     time_point stop_at_;
     time_point exit_from_;
     bool has_exited_ = false;
+    bool level_is_raised_ = false;
 };
 
 node_core::node_core(core_settings settings) : impl_(std::make_unique<impl>(std::move(settings))) {}
--- a/libs/emulator/src/virtual_fleet.cpp
+++ b/libs/emulator/src/virtual_fleet.cpp
@@ -262,7 +262,7 @@
         to->arrived.emplace(call->call, call);
         deliver(to, to->run,
                 call_arrived{call->call, listener::peer, what.request, what.context,
-                             call->from->member.core.incarnation, what.attempt});
+                             call->from->member.core.incarnation});
     });
 }
 
@@ -287,8 +287,7 @@
     };
     call->lost = [this, done] { clock_.after(0us, [done] { done(0, {}, ""); }); };
     at->arrived.emplace(call->call, call);
-    deliver(at, at->run,
-            call_arrived{call->call, listener::app, std::move(request), context, {}, {}});
+    deliver(at, at->run, call_arrived{call->call, listener::app, std::move(request), context, {}});
 }
 
 std::uint64_t virtual_fleet::submit(const instance_id& node, http_request request,
@@ -333,8 +332,7 @@
         call->call = {++to->next_call};
         call->has_arrived = true;
         to->arrived.emplace(call->call, call);
-        deliver(to, to->run,
-                call_arrived{call->call, listener::caller, shared, std::nullopt, {}, {}});
+        deliver(to, to->run, call_arrived{call->call, listener::caller, shared, std::nullopt, {}});
     });
     return submission;
 }
--- a/libs/http/include/trefoil/http/header_rules.hpp
+++ b/libs/http/include/trefoil/http/header_rules.hpp
@@ -9,8 +9,8 @@
 
 namespace trefoil {
 
-/// True for fields that belong to one connection or that the sender writes itself (RFC 9110 7.6.1,
-/// content-length, host).
+/// True for fields that belong to one connection or that each sender writes itself (RFC 9110 7.6.1,
+/// content-length, host, date, server).
 bool is_hop_by_hop(std::string_view lower_case_name);
 
 /// The value of the first field of this name, or empty.
--- a/libs/http/src/header_rules.cpp
+++ b/libs/http/src/header_rules.cpp
@@ -6,11 +6,12 @@
 namespace trefoil {
 
 bool is_hop_by_hop(std::string_view name) {
-    static constexpr std::array<std::string_view, 11> names = {
-        "connection", "keep-alive",    "proxy-connection",
-        "te",         "trailer",       "transfer-encoding",
-        "upgrade",    "expect",        "content-length",
-        "host",       "http2-settings"};
+    static constexpr std::array<std::string_view, 13> names = {
+        "connection", "keep-alive",     "proxy-connection",
+        "te",         "trailer",        "transfer-encoding",
+        "upgrade",    "expect",         "content-length",
+        "host",       "http2-settings", "date",
+        "server"};
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -123,6 +123,7 @@
         CHECK(answer.status == 201);
         CHECK(answer.body.size() == size);
         CHECK(find_header(answer.headers, "x-size") == std::to_string(size));
+        CHECK(find_header(answer.headers, "date").empty());
     }
     CHECK(client.pending() == 0);
 }
--- a/libs/node/src/message_rules.cpp
+++ b/libs/node/src/message_rules.cpp
@@ -106,12 +106,8 @@
         }
         call.context = *std::move(context);
     }
-    const auto attempt_text = find_header(request.headers, attempt_header);
-    const auto dash = attempt_text.find('-');
-    if (dash == std::string_view::npos ||
-        !parse_hex(attempt_text.substr(0, dash), call.sender.value) ||
-        !parse_hex(attempt_text.substr(dash + 1), call.attempt.value)) {
-        return make_error(wire_failure::bad_message, "a peer's call without its attempt");
+    if (!parse_hex(find_header(request.headers, sender_header), call.sender.value)) {
+        return make_error(wire_failure::bad_message, "a peer's call without its sender");
     }
     request.caller = find_header(request.headers, caller_header);
     request.service = service_name(host_name(request.service.str()));
@@ -127,15 +123,13 @@
 }
 
 http_request to_peer_request(const http_request& request,
-                             const std::optional<call_context>& context, incarnation_id self,
-                             attempt_id attempt) {
+                             const std::optional<call_context>& context, incarnation_id self) {
     auto sent = request;
     sent.headers = with_baggage(without_own_headers(request.headers), "");
     if (context) {
         sent.headers.push_back({std::string(context_header), encode_context(*context)});
     }
-    sent.headers.push_back(
-        {std::string(attempt_header), fmt::format("{:x}-{:x}", self.value, attempt.value)});
+    sent.headers.push_back({std::string(sender_header), fmt::format("{:x}", self.value)});
     if (!request.caller.empty()) {
         sent.headers.push_back({std::string(caller_header), request.caller});
     }
--- a/libs/node/src/message_rules.hpp
+++ b/libs/node/src/message_rules.hpp
@@ -11,8 +11,8 @@
 
 namespace trefoil {
 
-/// Header that names the sender's attempt between nodes.
-inline constexpr std::string_view attempt_header = "trefoil-attempt";
+/// Header that names the run of the sending node.
+inline constexpr std::string_view sender_header = "trefoil-sender";
 /// Header that carries the caller's identity to the owner of an idempotency key.
 inline constexpr std::string_view caller_header = "trefoil-caller";
 
@@ -28,7 +28,6 @@
     http_request request;
     std::optional<call_context> context;
     incarnation_id sender;
-    attempt_id attempt;
 };
 
 /// Reads a peer's request. Fails with a wire_failure.
@@ -39,8 +38,7 @@
 
 /// The request as it is sent to a peer.
 http_request to_peer_request(const http_request& request,
-                             const std::optional<call_context>& context, incarnation_id self,
-                             attempt_id attempt);
+                             const std::optional<call_context>& context, incarnation_id self);
 
 /// The event that a target's answer or its failure means.
 event target_event(attempt_id attempt, exchange_result result);
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -188,7 +188,6 @@
             arrived.request = std::make_shared<const http_request>(std::move(read->request));
             arrived.context = std::move(read->context);
             arrived.sender = read->sender;
-            arrived.sender_attempt = read->attempt;
             return arrived;
         }
         if (from == listener::app) {
@@ -281,8 +280,7 @@
     http_client::request_id send_to_peer(const start_attempt& what, const peer_destination& peer,
                                          const exchange_limits& limits) {
         return client_->send(
-            peer.address,
-            to_peer_request(*what.request, what.context, core_settings_.incarnation, what.attempt),
+            peer.address, to_peer_request(*what.request, what.context, core_settings_.incarnation),
             limits, [this, attempt = what.attempt](exchange_result result) {
                 attempts_.erase(attempt);
                 dispatch(peer_event(attempt, std::move(result)));
@@ -316,7 +314,13 @@
                         return document_read{document, read.at, std::move(read.text)};
                     },
                     [&](platform_unchanged) -> event { return document_unchanged{document}; },
-                    [&](platform_problem) -> event { return platform_failed{document}; },
+                    [&](platform_problem problem) -> event {
+                        if (problem == platform_problem::bad_answer) {
+                            write_log({log_event::bad_platform_answer,
+                                       {{"document", std::string(name_of(document))}}});
+                        }
+                        return platform_failed{document};
+                    },
                 },
                 result));
         });
--- a/libs/wire/include/trefoil/wire/control_message.hpp
+++ b/libs/wire/include/trefoil/wire/control_message.hpp
@@ -104,16 +104,7 @@
     friend bool operator==(const suspect_notice&, const suspect_notice&) = default;
 };
 
-/// Withdraws a call that was sent to a peer.
-struct cancel_notice {
-    request_id request;
-    attempt_id attempt;
-    incarnation_id sender;
-
-    friend bool operator==(const cancel_notice&, const cancel_notice&) = default;
-};
-
-using control_message = std::variant<document_delta, document_digest, document_pull, leaving_notice,
-                                     suspect_notice, cancel_notice>;
+using control_message =
+    std::variant<document_delta, document_digest, document_pull, leaving_notice, suspect_notice>;
 
 } // namespace trefoil
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -87,13 +87,6 @@
                        body.set_state(static_cast<std::uint32_t>(notice.state));
                        body.set_lifetime_us(static_cast<std::uint64_t>(notice.lifetime.count()));
                    },
-                   [&](const cancel_notice& notice) {
-                       auto& body = *out.mutable_cancel();
-                       body.set_request_high(notice.request.high);
-                       body.set_request_low(notice.request.low);
-                       body.set_attempt(notice.attempt.value);
-                       body.set_sender(notice.sender.value);
-                   },
                },
                message);
     return out;
@@ -288,11 +281,6 @@
                               {message.leaving().incarnation()}};
     case proto::ControlMessage::kSuspect:
         return from_suspect(message.suspect());
-    case proto::ControlMessage::kCancel: {
-        const auto& body = message.cancel();
-        return cancel_notice{
-            {body.request_high(), body.request_low()}, {body.attempt()}, {body.sender()}};
-    }
     case proto::ControlMessage::BODY_NOT_SET:
         break;
     }
--- a/tests/process/fault_test.cpp
+++ b/tests/process/fault_test.cpp
@@ -309,9 +309,9 @@
     };
     CHECK(at_listener("peer", {}) == 400);
     CHECK(at_listener("peer", {{"trefoil-context", "not base64 !"}}) == 400);
-    CHECK(at_listener("peer", {{"trefoil-context", "AAAA"}, {"trefoil-attempt", "1-1"}}) == 400);
+    CHECK(at_listener("peer", {{"trefoil-context", "AAAA"}, {"trefoil-sender", "1"}}) == 400);
     CHECK(at_listener("peer", {{"trefoil-context", std::string(5000, 'A')},
-                               {"trefoil-attempt", "1-1"}}) == 400);
+                               {"trefoil-sender", "1"}}) == 400);
     CHECK(at_listener("app", {{"baggage", "trefoil=not base64 !"}}) == 400);
     CHECK(site.runs_of_body("b1", "peer") == 0);
     CHECK(site.serves("b1"));
--- a/tools/trefoil-load/bench_core_command.cpp
+++ b/tools/trefoil-load/bench_core_command.cpp
@@ -115,7 +115,7 @@
         request->path = fmt::format("/p{}/x", row);
         request->service = service_name(service_at(row));
         if (last_call_ % 2 == 0) {
-            step(call_arrived{{last_call_}, listener::caller, request, std::nullopt, {}, {}});
+            step(call_arrived{{last_call_}, listener::caller, request, std::nullopt, {}});
             return;
         }
         call_context context;
@@ -124,12 +124,8 @@
         context.priority = 5;
         context.remaining = 60s;
         context.depth = 1;
-        step(call_arrived{{last_call_},
-                          listener::peer,
-                          request,
-                          context,
-                          {last_call_ % load_.peers + 2},
-                          {last_call_}});
+        step(call_arrived{
+            {last_call_}, listener::peer, request, context, {last_call_ % load_.peers + 2}});
     }
 
     void step(const event& what) {
