--- a/libs/core/include/trefoil/core/node_core.hpp
+++ b/libs/core/include/trefoil/core/node_core.hpp
@@ -39,6 +39,8 @@
     /// Bounds of what is kept of requests that must not be repeated. A key may be used for the
     /// first time within the same lifetime after its issue.
     kept_limits kept_once;
+    /// False if the node itself makes no retries and leaves them to applications, for comparison.
+    bool retries_by_node = true;
     /// How many retry tokens go down with a call.
     lending lends = lending::by_fan_out;
     retry_budget_settings retry_budget;
--- a/libs/core/src/outbound_calls.cpp
+++ b/libs/core/src/outbound_calls.cpp
@@ -326,8 +326,9 @@
 bool outbound_calls::pay_for_retry(outbound_call& call, const answer_info& info) {
     const bool may_run_again =
         info.result == outcome::not_run || (info.result == outcome::unknown && !call.context.once);
-    if (!may_run_again || !another_instance_may_help(info.reason) ||
-        call.lost_attempts >= max_lost_attempts || !state_.ledger.spend(call.account)) {
+    if (!state_.settings.retries_by_node || !may_run_again ||
+        !another_instance_may_help(info.reason) || call.lost_attempts >= max_lost_attempts ||
+        !state_.ledger.spend(call.account)) {
         return false;
     }
     if (is_free_of_load(info.reason)) {
--- a/libs/experiment/src/run_experiment.cpp
+++ b/libs/experiment/src/run_experiment.cpp
@@ -11,6 +11,7 @@
 namespace trefoil {
 namespace {
 
+constexpr retry_budget_settings unbounded_budget{1e6, 1e6, 1e9};
 /// Time for tables and lists to reach every node before callers start.
 /// Share of its calls that may leave a service's home tier where spill is not bounded.
 constexpr double unbounded_spill = 1000;
@@ -20,6 +21,8 @@
 constexpr double trigger_ends = 0.60;
 /// Retries that each layer makes under policy none.
 constexpr std::uint32_t retries_of_none = 3;
+/// Retries of a row under policy none, the most that a table may give.
+constexpr std::uint32_t unbounded_retries = 100;
 /// Requests sent within this time are judged together for recovery.
 constexpr duration recovery_window = 500ms;
 constexpr duration recovery_step = 100ms;
@@ -85,10 +88,22 @@
                 fleet_.add(make_member(service, domain, port++));
             }
         }
-        fleet_.publish(document_id::table, table_text(site_));
+        fleet_.publish(document_id::table, table_text(published_site()));
         fleet_.publish_members();
     }
 
+    // Under policy none the applications repeat as they like, also what must not be repeated.
+    site published_site() const {
+        auto published = site_;
+        if (plan_.policy == experiment_policy::none) {
+            for (auto& kind : published.kinds) {
+                kind.row.retries = unbounded_retries;
+                kind.row.once = false;
+            }
+        }
+        return published;
+    }
+
     fleet_member make_member(const site_service& service, const std::string& domain,
                              std::uint16_t port) const {
         fleet_member member;
@@ -106,6 +121,10 @@
         member.core.routing.spill_share =
             is_full && plan_.spill_bound ? routing_settings{}.spill_share : unbounded_spill;
         member.core.quarantine.is_enabled = is_full && plan_.quarantine;
+        if (plan_.policy == experiment_policy::none) {
+            member.core.retries_by_node = false;
+            member.core.retry_budget = unbounded_budget;
+        }
         member.target.slots = service.slots;
         member.target.backlog = service.connections - service.slots;
         member.target.cold_time = cold_time;
