--- a/tests/bench/echo_bench.cpp
+++ b/tests/bench/echo_bench.cpp
@@ -89,7 +89,7 @@
     });
     measure("grpc", options.rounds, [&] {
         const auto before = heard;
-        (*near)->send(at(2), document_digest{document_id::table, {1}, 1, {}});
+        (*near)->send(at(2), document_digest{document_id::table, {1}, 1, {}, {}});
         run_until(loop, [&] { return heard > before; });
     });
     return 0;
