--- a/tests/bench/echo_bench.cpp
+++ b/tests/bench/echo_bench.cpp
@@ -87,9 +87,11 @@
                     [&](const exchange_result&) { is_done = true; });
         run_until(loop, [&] { return is_done; });
     });
+    document_digest message;
+    message.held = {1};
     measure("grpc", options.rounds, [&] {
         const auto before = heard;
-        (*near)->send(at(2), document_digest{document_id::table, {1}, 1, {}, {}});
+        (*near)->send(at(2), message);
         run_until(loop, [&] { return heard > before; });
     });
     return 0;
