Take the report's threshold from admission, and count errors in one place

The report had its own copy of the threshold that admits everything, and a structure that only carried two of its counters into one division. It uses admission's constant and the counters themselves now.

--- a/libs/report/include/trefoil/report/burn.hpp
+++ b/libs/report/include/trefoil/report/burn.hpp
@@ -24,17 +24,6 @@
 inline constexpr std::array<burn_window, 2> burn_windows = {
     {{"5m/1h", 300, 3600, 14.4}, {"30m/6h", 1800, 21600, 6.0}}};
 
-/// Requests of a kind between two times, over all nodes.
-struct window_counts {
-    double offered = 0;
-    double succeeded = 0;
-
-    /// Share that did not succeed; nothing without requests.
-    std::optional<double> error_share() const;
-
-    friend bool operator==(const window_counts&, const window_counts&) = default;
-};
-
 /// Burn of one kind in one pair of windows. A rate of 1 uses the budget up exactly in its period.
 struct burn_rate {
     std::optional<double> short_rate;
--- a/libs/report/src/burn.cpp
+++ b/libs/report/src/burn.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
+#include <trefoil/admission/admission_position.hpp>
+
 namespace trefoil {
 namespace {
 
-constexpr double admit_all_threshold = 2560;
-
 using scrapes_by_node = std::map<std::string, std::vector<const scrape*>>;
 
 scrapes_by_node sort_by_node(const std::vector<scrape>& scrapes) {
@@ -58,12 +58,12 @@
     return sum;
 }
 
+// Share of errors over the share allowed; nothing without requests or without a budget.
 std::optional<double> rate_of(const kind_counts& counts, double allowed_share) {
-    const auto share = window_counts{counts.offered, counts.succeeded}.error_share();
-    if (!share || allowed_share <= 0) {
+    if (counts.offered <= 0 || allowed_share <= 0) {
         return std::nullopt;
     }
-    return *share / allowed_share;
+    return std::clamp(1 - counts.succeeded / counts.offered, 0.0, 1.0) / allowed_share;
 }
 
 kind_burn burn_of(const scrapes_by_node& nodes, const table_row& row, double now) {
@@ -108,20 +108,13 @@
     for (const auto& [key, count] : latest.refusals) {
         report.refusals[key] += count;
     }
-    if (latest.threshold > 0 && latest.threshold < admit_all_threshold) {
+    if (latest.threshold > 0 && latest.threshold < admit_all) {
         report.raised_levels[latest.node] = latest.threshold;
     }
 }
 
 } // namespace
 
-std::optional<double> window_counts::error_share() const {
-    if (offered <= 0) {
-        return std::nullopt;
-    }
-    return std::clamp(1 - succeeded / offered, 0.0, 1.0);
-}
-
 burn_report make_report(const saved_scrapes& saved, const table& objectives) {
     const auto nodes = sort_by_node(saved.scrapes);
     double now = 0;
