--- a/cmake/trefoil.cmake
+++ b/cmake/trefoil.cmake
@@ -31,3 +31,10 @@
         set_tests_properties(${name} PROPERTIES LABELS core)
     endif()
 endfunction()
+
+# trefoil_tool(NAME SOURCES ... DEPENDS ...) declares a program.
+function(trefoil_tool name)
+    cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${arg_SOURCES})
+    target_link_libraries(${name} PRIVATE ${arg_DEPENDS})
+endfunction()
--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -34,14 +34,28 @@
     bool chain_level = true;
     /// A target that comes back gets few calls at first.
     bool slow_start = true;
+    /// Calls whose turn is expected to come after their patience are refused on arrival.
+    bool wait_refusal = false;
 
     friend bool operator==(const admission_policy&, const admission_policy&) = default;
 };
 
 /// Every call is handed on at once.
-inline constexpr admission_policy no_admission{false, false, false, false, false, false, false};
+inline constexpr admission_policy no_admission{.limit = false,
+                                               .adaptive_limit = false,
+                                               .priority_order = false,
+                                               .deadline_refusal = false,
+                                               .level = false,
+                                               .chain_level = false,
+                                               .slow_start = false};
 /// A fixed limit and a queue in order of arrival.
-inline constexpr admission_policy fixed_admission{true, false, false, false, false, false, false};
+inline constexpr admission_policy fixed_admission{.limit = true,
+                                                  .adaptive_limit = false,
+                                                  .priority_order = false,
+                                                  .deadline_refusal = false,
+                                                  .level = false,
+                                                  .chain_level = false,
+                                                  .slow_start = false};
 
 /// Limits of one target.
 struct admission_settings {
@@ -69,6 +83,8 @@
     time_point deadline;
     /// Calls of this kind that may be in flight at the target; 0 refuses all.
     std::uint32_t kind_limit = 0;
+    /// Longest time that the call may wait for its turn, if its sender has another use for it then.
+    duration patience = duration::max();
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
@@ -128,6 +144,12 @@
     /// Tells that the target's process is there or not. A target that comes back is cold.
     void target_changed(time_point now, bool is_up);
 
+    /// The target declares another number of slots.
+    void set_slots(std::uint32_t slots);
+
+    /// How long a call of this position would wait for its turn.
+    duration expected_wait(std::uint32_t position) const;
+
     /// The highest position that is admitted at present, plus one.
     std::uint32_t threshold() const;
 
@@ -152,6 +174,7 @@
     std::uint32_t limit() const;
     void note_state(time_point now);
     bool kind_is_full(const admission_request& request) const;
+    bool waits_too_long(time_point now, const admission_request& request) const;
     bool is_too_late(time_point now, const admission_request& request) const;
     queue::iterator take(queue::iterator at, refusal reason, std::vector<admission_change>& out);
     void refuse_all(refusal reason, std::vector<admission_change>& out);
--- a/libs/admission/include/trefoil/admission/concurrency_limit.hpp
+++ b/libs/admission/include/trefoil/admission/concurrency_limit.hpp
@@ -27,6 +27,9 @@
     /// The target's process is new.
     void restarted();
 
+    /// The target declares another highest limit, at least 1. A limit that was not reduced follows.
+    void set_highest(std::uint32_t highest);
+
 private:
     double highest_;
     bool is_adaptive_;
--- a/libs/admission/include/trefoil/admission/service_times.hpp
+++ b/libs/admission/include/trefoil/admission/service_times.hpp
@@ -18,6 +18,9 @@
     /// seen lately.
     duration expected(time_point now, const std::string& kind) const;
 
+    /// The mean over the recent calls of all kinds; zero before the first.
+    duration mean() const { return duration(static_cast<duration::rep>(mean_us_)); }
+
 private:
     struct kind_mean {
         duration mean{0};
@@ -25,6 +28,7 @@
     };
 
     std::unordered_map<std::string, kind_mean> means_;
+    double mean_us_ = 0;
 };
 
 } // namespace trefoil
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -26,12 +26,18 @@
     if (is_too_late(now, request)) {
         return refusal::deadline;
     }
+    if (waits_too_long(now, request)) {
+        return refusal::overload;
+    }
     const auto position = settings_.policy.priority_order ? request.position : 0;
     const queue_key key{position, next_sequence_++};
     const auto expected = settings_.policy.deadline_refusal
                               ? service_times_.expected(now, request.kind)
                               : duration{0};
-    const auto latest_start = request.deadline - expected;
+    auto latest_start = request.deadline - expected;
+    if (request.patience < latest_start - now) {
+        latest_start = now + request.patience;
+    }
     queue_.emplace(key, waiting_call{request, now, latest_start});
     keys_.emplace(request.call, key);
     deadlines_.emplace(latest_start, request.call);
@@ -140,6 +146,25 @@
     target_is_up_ = is_up;
 }
 
+void admission::set_slots(std::uint32_t slots) {
+    settings_.slots = slots;
+    limit_.set_highest(std::min(slots, settings_.connections));
+}
+
+duration admission::expected_wait(std::uint32_t position) const {
+    if (in_flight_.size() < limit()) {
+        return duration{0};
+    }
+    const auto ahead = std::distance(queue_.begin(), queue_.upper_bound({position, next_sequence_}));
+    return service_times_.mean() * (ahead + 1) / std::max<std::uint32_t>(limit(), 1);
+}
+
+bool admission::waits_too_long(time_point now, const admission_request& request) const {
+    return settings_.policy.wait_refusal &&
+           (expected_wait(request.position) > request.patience ||
+            now + expected_wait(request.position) > request.deadline);
+}
+
 std::uint32_t admission::threshold() const {
     return settings_.policy.level ? level_.threshold() : admit_all;
 }
--- a/libs/admission/src/concurrency_limit.cpp
+++ b/libs/admission/src/concurrency_limit.cpp
@@ -41,6 +41,12 @@
     slow_start_end_ = limit_;
 }
 
+void concurrency_limit::set_highest(std::uint32_t highest) {
+    const bool was_full = limit_ >= highest_;
+    highest_ = std::max<std::uint32_t>(highest, 1);
+    limit_ = was_full ? highest_ : std::min(limit_, highest_);
+}
+
 void concurrency_limit::restarted() {
     if (!has_slow_start_) {
         return;
--- a/libs/admission/src/service_times.cpp
+++ b/libs/admission/src/service_times.cpp
@@ -7,6 +7,8 @@
 
 /// Weight of the newest time in the running mean is 1 / this.
 constexpr int smoothing = 8;
+/// The same for the mean over all kinds.
+constexpr double overall_smoothing = 32;
 /// A mean without news counts half after this time.
 constexpr duration half_life = 1s;
 
@@ -16,6 +18,8 @@
     auto& entry = means_.try_emplace(kind, kind_mean{took, now}).first->second;
     entry.mean += (took - entry.mean) / smoothing;
     entry.at = now;
+    const auto took_us = static_cast<double>(took.count());
+    mean_us_ += mean_us_ == 0 ? took_us : (took_us - mean_us_) / overall_smoothing;
 }
 
 duration service_times::expected(time_point now, const std::string& kind) const {
--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -17,6 +17,8 @@
     second_stop_signal = 1005,
     setting_invalid = 1006,
     clock_gap = 1007,
+    log_lines_dropped = 1008,
+    settings_reloaded = 1009,
     document_accepted = 2001,
     document_refused = 2002,
     platform_unreachable = 2003,
@@ -24,6 +26,10 @@
     serving_without_documents = 2005,
     document_stale_ignored = 2006,
     document_repaired = 2007,
+    config_in_force = 2008,
+    config_ignored = 2009,
+    item_unreadable = 2010,
+    registry_read_again = 2011,
     target_down = 3001,
     target_up = 3002,
     level_raised = 3003,
@@ -31,6 +37,10 @@
     instance_ejected = 3005,
     instance_returned = 3006,
     instance_leaving = 3007,
+    instance_listed = 3008,
+    instance_dropped = 3009,
+    instance_held = 3010,
+    own_target_changed = 3011,
     request_suspected = 4001,
     request_cleared = 4002,
     request_convicted = 4003,
@@ -38,6 +48,14 @@
     bad_control_message = 5002,
     bad_platform_answer = 5003,
     listener_failed = 5004,
+    call_refused = 6001,
+    call_failed = 6002,
+    call_served = 6003,
+    call_served_late = 6004,
+    attempt_repeated = 6005,
+    call_abandoned = 6006,
+    run_refused = 6007,
+    run_failed = 6008,
 };
 
 /// All events in ascending order of number.
@@ -58,6 +76,9 @@
 /// or quotes are quoted.
 std::string format_record(const log_record& record);
 
+/// The record with the wall-clock time in front.
+std::string timestamped(const log_record& record);
+
 /// Writes the record to standard error with the wall-clock time in front.
 void write_log(const log_record& record);
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -20,6 +20,8 @@
         {log_event::second_stop_signal, "second_stop_signal"},
         {log_event::setting_invalid, "setting_invalid"},
         {log_event::clock_gap, "clock_gap"},
+        {log_event::log_lines_dropped, "log_lines_dropped"},
+        {log_event::settings_reloaded, "settings_reloaded"},
         {log_event::document_accepted, "document_accepted"},
         {log_event::document_refused, "document_refused"},
         {log_event::platform_unreachable, "platform_unreachable"},
@@ -27,6 +29,10 @@
         {log_event::serving_without_documents, "serving_without_documents"},
         {log_event::document_stale_ignored, "document_stale_ignored"},
         {log_event::document_repaired, "document_repaired"},
+        {log_event::config_in_force, "config_in_force"},
+        {log_event::config_ignored, "config_ignored"},
+        {log_event::item_unreadable, "item_unreadable"},
+        {log_event::registry_read_again, "registry_read_again"},
         {log_event::target_down, "target_down"},
         {log_event::target_up, "target_up"},
         {log_event::level_raised, "level_raised"},
@@ -34,6 +40,10 @@
         {log_event::instance_ejected, "instance_ejected"},
         {log_event::instance_returned, "instance_returned"},
         {log_event::instance_leaving, "instance_leaving"},
+        {log_event::instance_listed, "instance_listed"},
+        {log_event::instance_dropped, "instance_dropped"},
+        {log_event::instance_held, "instance_held"},
+        {log_event::own_target_changed, "own_target_changed"},
         {log_event::request_suspected, "request_suspected"},
         {log_event::request_cleared, "request_cleared"},
         {log_event::request_convicted, "request_convicted"},
@@ -41,6 +51,14 @@
         {log_event::bad_control_message, "bad_control_message"},
         {log_event::bad_platform_answer, "bad_platform_answer"},
         {log_event::listener_failed, "listener_failed"},
+        {log_event::call_refused, "call_refused"},
+        {log_event::call_failed, "call_failed"},
+        {log_event::call_served, "call_served"},
+        {log_event::call_served_late, "call_served_late"},
+        {log_event::attempt_repeated, "attempt_repeated"},
+        {log_event::call_abandoned, "call_abandoned"},
+        {log_event::run_refused, "run_refused"},
+        {log_event::run_failed, "run_failed"},
     };
     return names;
 }
@@ -91,12 +109,16 @@
     return line;
 }
 
-void write_log(const log_record& record) {
+std::string timestamped(const log_record& record) {
     const auto now =
         std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
-               fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-               now.time_since_epoch().count() % 1000, format_record(record));
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                       now.time_since_epoch().count() % 1000, format_record(record));
+}
+
+void write_log(const log_record& record) {
+    fmt::print(stderr, "{}\n", timestamped(record));
 }
 
 } // namespace trefoil
--- a/libs/platform/src/platform_client.cpp
+++ b/libs/config_service/src/config_client.cpp
@@ -1,11 +1,11 @@
-#include <trefoil/platform/platform_client.hpp>
+#include <trefoil/config_service/config_client.hpp>
 
 #include <charconv>
 
 #include <fmt/format.h>
 
 #include <trefoil/base/overloaded.hpp>
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 
 namespace trefoil {
 namespace {
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <unordered_map>
 
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 
 #include "h2o_uv.hpp"
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -8,7 +8,7 @@
 #include <fmt/format.h>
 
 #include <trefoil/base/error.hpp>
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 
 #include "h2o_uv.hpp"
 
--- /dev/null
+++ b/libs/http1/src/header_rules.cpp
@@ -0,0 +1,76 @@
+#include <trefoil/http1/header_rules.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace trefoil {
+
+bool is_hop_by_hop(std::string_view name) {
+    static constexpr std::array<std::string_view, 13> names = {
+        "connection", "keep-alive",     "proxy-connection",
+        "te",         "trailer",        "transfer-encoding",
+        "upgrade",    "expect",         "content-length",
+        "host",       "http2-settings", "date",
+        "server"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+namespace {
+
+bool concerns_connection(std::string_view name) {
+    static constexpr std::array<std::string_view, 10> names = {
+        "connection", "keep-alive", "proxy-connection",  "te",     "trailer",
+        "upgrade",    "expect",     "transfer-encoding", "content-length", "http2-settings"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// The lower-case names that Connection fields list.
+std::string connection_options(const std::vector<http_header>& headers) {
+    std::string options = ",";
+    for (const auto& field : headers) {
+        if (field.name != "connection") {
+            continue;
+        }
+        for (const unsigned char c : field.value) {
+            if (c != ' ' && c != '\t') {
+                options += static_cast<char>(std::tolower(c));
+            }
+        }
+        options += ',';
+    }
+    return options;
+}
+
+} // namespace
+
+std::vector<http_header> end_to_end(const std::vector<http_header>& headers) {
+    const auto options = connection_options(headers);
+    std::vector<http_header> kept;
+    kept.reserve(headers.size() + 4);
+    for (const auto& field : headers) {
+        const bool is_named =
+            options.size() > 1 && options.find("," + field.name + ",") != std::string::npos;
+        if (!concerns_connection(field.name) && !is_named) {
+            kept.push_back(field);
+        }
+    }
+    return kept;
+}
+
+void set_header(std::vector<http_header>& headers, std::string_view name, std::string value) {
+    std::erase_if(headers, [&](const http_header& field) { return field.name == name; });
+    headers.push_back({std::string(name), std::move(value)});
+}
+
+std::string_view find_header(const std::vector<http_header>& headers, std::string_view name) {
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [&](const http_header& field) { return field.name == name; });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+std::vector<http_header> without_header(std::vector<http_header> headers, std::string_view name) {
+    std::erase_if(headers, [&](const http_header& field) { return field.name == name; });
+    return headers;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/http1/src/message.cpp
@@ -0,0 +1,58 @@
+#include <trefoil/http1/message.hpp>
+
+#include <fmt/format.h>
+
+namespace trefoil::http1 {
+namespace {
+
+void append_headers(std::string& out, const std::vector<http_header>& headers) {
+    for (const auto& field : headers) {
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+}
+
+void append_framing(std::string& out, body_end framing, std::uint64_t length) {
+    if (framing == body_end::length) {
+        out.append("content-length: ").append(std::to_string(length)).append("\r\n");
+    } else if (framing == body_end::chunks) {
+        out.append("transfer-encoding: chunked\r\n");
+    }
+}
+
+bool has_no_body_by_status(int status) {
+    return status == 204 || status == 304 || status / 100 == 1;
+}
+
+} // namespace
+
+std::string to_bytes(const request_head& head) {
+    std::string out;
+    out.reserve(512);
+    out.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+    append_headers(out, head.headers);
+    append_framing(out, head.framing, head.content_length);
+    return out.append("\r\n");
+}
+
+std::string to_bytes(const response_head& head, bool closes) {
+    std::string out;
+    out.reserve(512);
+    out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
+    out.append(head.reason).append("\r\n");
+    append_headers(out, head.headers);
+    if (head.framing == body_end::none && !has_no_body_by_status(head.status)) {
+        append_framing(out, body_end::length, 0);
+    } else {
+        append_framing(out, head.framing, head.content_length);
+    }
+    if (closes) {
+        out.append("connection: close\r\n");
+    }
+    return out.append("\r\n");
+}
+
+std::string to_chunk(std::string_view bytes) {
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+} // namespace trefoil::http1
--- /dev/null
+++ b/libs/http1/src/parser_core.hpp
@@ -0,0 +1,172 @@
+// What the parsers of requests and answers have in common.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <http_parser.h>
+
+#include <trefoil/http1/message.hpp>
+
+namespace trefoil::http1 {
+
+/// Collects a head from http_parser's callbacks and emits events of the type Event. Head is the
+/// head's type; `take_head` completes it when all headers are there.
+template <class Head, class Event>
+class parser_core {
+public:
+    using head_filler = void (*)(Head&, const http_parser&);
+
+    parser_core(http_parser_type type, std::size_t max_head_bytes, head_filler fill)
+        : max_head_bytes_(max_head_bytes), fill_(fill) {
+        http_parser_init(&parser_, type);
+        parser_.data = this;
+        http_parser_settings_init(&settings_);
+        settings_.on_message_begin = [](http_parser* p) { return self(p).begin(); };
+        settings_.on_url = [](http_parser* p, const char* at, std::size_t length) {
+            return self(p).append(self(p).first_line_, at, length);
+        };
+        settings_.on_status = settings_.on_url;
+        settings_.on_header_field = [](http_parser* p, const char* at, std::size_t length) {
+            return self(p).add_name({at, length});
+        };
+        settings_.on_header_value = [](http_parser* p, const char* at, std::size_t length) {
+            self(p).reads_value_ = true;
+            return self(p).append(self(p).value_, at, length);
+        };
+        settings_.on_headers_complete = [](http_parser* p) { return self(p).complete_head(); };
+        settings_.on_body = [](http_parser* p, const char* at, std::size_t length) {
+            self(p).events_->push_back(body_piece{std::string(at, length)});
+            return 0;
+        };
+        settings_.on_message_complete = [](http_parser* p) { return self(p).complete_message(); };
+    }
+
+    void feed(std::string_view bytes, std::vector<Event>& events) {
+        if (has_failed_) {
+            return;
+        }
+        events_ = &events;
+        const auto used = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+        events_ = nullptr;
+        const bool is_broken = HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != bytes.size();
+        if (is_broken) {
+            fail(events);
+        }
+    }
+
+    void finish(std::vector<Event>& events) {
+        if (has_failed_) {
+            return;
+        }
+        events_ = &events;
+        http_parser_execute(&parser_, &settings_, nullptr, 0);
+        events_ = nullptr;
+        if (is_in_message_) {
+            has_failed_ = true;
+            events.push_back(parse_failure::cut_off);
+        }
+    }
+
+    void expect_no_body() { skips_body_ = true; }
+    bool is_in_head() const { return is_in_message_ && !has_head_; }
+
+private:
+    static parser_core& self(http_parser* parser) {
+        return *static_cast<parser_core*>(parser->data);
+    }
+
+    void fail(std::vector<Event>& events) {
+        has_failed_ = true;
+        events.push_back(head_bytes_ > max_head_bytes_ ? parse_failure::head_too_large
+                                                       : parse_failure::malformed);
+    }
+
+    int begin() {
+        is_in_message_ = true;
+        has_head_ = false;
+        head_bytes_ = 0;
+        first_line_.clear();
+        headers_.clear();
+        return 0;
+    }
+
+    int append(std::string& to, const char* at, std::size_t length) {
+        if (has_head_) {
+            return 0;
+        }
+        head_bytes_ += length;
+        to.append(at, length);
+        return head_bytes_ > max_head_bytes_ ? 1 : 0;
+    }
+
+    int add_name(std::string_view piece) {
+        if (has_head_) {
+            return 0;
+        }
+        store_header();
+        return append(name_, piece.data(), piece.size());
+    }
+
+    void store_header() {
+        if (!reads_value_) {
+            return;
+        }
+        std::transform(name_.begin(), name_.end(), name_.begin(), [](unsigned char c) {
+            return static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
+        });
+        headers_.push_back({std::move(name_), std::move(value_)});
+        name_.clear();
+        value_.clear();
+        reads_value_ = false;
+    }
+
+    int complete_head() {
+        store_header();
+        has_head_ = true;
+        // Upgrades are not offered, so bytes after the message are the next message.
+        parser_.upgrade = 0;
+        Head head;
+        head.headers = std::move(headers_);
+        headers_.clear();
+        fill_(head, parser_);
+        if constexpr (requires { head.target; }) {
+            head.target = first_line_;
+        } else {
+            head.reason = first_line_;
+        }
+        if (skips_body_) {
+            head.framing = body_end::none;
+        }
+        events_->push_back(std::move(head));
+        return std::exchange(skips_body_, false) ? 1 : 0;
+    }
+
+    int complete_message() {
+        is_in_message_ = false;
+        events_->push_back(message_end{http_should_keep_alive(&parser_) != 0});
+        return 0;
+    }
+
+    http_parser parser_{};
+    http_parser_settings settings_{};
+    std::size_t max_head_bytes_;
+    head_filler fill_;
+    std::vector<Event>* events_ = nullptr;
+    std::string first_line_;
+    std::string name_;
+    std::string value_;
+    std::vector<http_header> headers_;
+    std::size_t head_bytes_ = 0;
+    bool reads_value_ = false;
+    bool has_head_ = false;
+    bool is_in_message_ = false;
+    bool has_failed_ = false;
+    bool skips_body_ = false;
+};
+
+} // namespace trefoil::http1
--- /dev/null
+++ b/libs/http1/src/server.cpp
@@ -0,0 +1,523 @@
+#include <trefoil/http1/server.hpp>
+
+#include <deque>
+#include <unordered_map>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/error.hpp>
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/message_parser.hpp>
+#include <trefoil/http1/tcp_stream.hpp>
+
+namespace trefoil::http1 {
+namespace {
+
+constexpr int accept_backlog = 1024;
+/// Requests of one connection that are handed on before the first of them is answered.
+constexpr std::size_t max_pipelined = 32;
+/// Bytes of a body that wait for its owner before reading stops.
+constexpr std::size_t max_waiting_body = 512U << 10U;
+
+response_head failure_head(int status, std::string reason) {
+    response_head head;
+    head.status = status;
+    head.reason = std::move(reason);
+    return head;
+}
+
+} // namespace
+
+absl::StatusCode status_code(server_failure) {
+    return absl::StatusCode::kUnavailable;
+}
+
+std::string_view name_of(server_failure) {
+    return "cannot_listen";
+}
+
+class server::impl {
+public:
+    class connection;
+    class request;
+
+    impl(uv_loop_t* loop, server_limits limits, request_handler on_request)
+        : loop_(loop), limits_(limits), on_request_(std::move(on_request)) {}
+
+    absl::Status open(const endpoint& where);
+    void accept();
+    void remove(connection* gone);
+
+    uv_loop_t* loop_;
+    server_limits limits_;
+    request_handler on_request_;
+    uv_tcp_t* listener_ = nullptr;
+    bool closes_after_answers_ = false;
+    std::size_t pending_ = 0;
+    std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
+};
+
+/// A request with its part of the connection's output.
+class server::impl::request : public served_request {
+public:
+    request(std::weak_ptr<connection> owner, request_head head)
+        : owner_(std::move(owner)), head_(std::move(head)) {}
+
+    const request_head& head() const override { return head_; }
+    std::string take_body() override;
+    std::size_t body_size() const override { return body_.size(); }
+    bool is_body_complete() const override { return is_body_complete_; }
+    void set_handlers(served_handlers handlers) override { handlers_ = std::move(handlers); }
+    void respond(response_head head, std::string_view body) override;
+    void begin(response_head head) override;
+    void write(std::string_view bytes) override;
+    void finish() override;
+    void abort() override;
+    std::size_t unsent() const override;
+
+    void add_body(std::string bytes) {
+        body_ += bytes;
+        call(handlers_.on_body);
+    }
+    void complete_body() {
+        is_body_complete_ = true;
+        call(handlers_.on_body);
+    }
+    void set_gone() {
+        owner_.reset();
+        call(handlers_.on_gone);
+        handlers_ = {};
+    }
+    void set_writable() { call(handlers_.on_writable); }
+
+    bool is_answered() const { return is_answered_; }
+    bool closes() const { return closes_; }
+    void set_closes() { closes_ = true; }
+    std::string take_output() { return std::exchange(output_, {}); }
+    bool is_first_ = false;
+
+private:
+    static void call(const std::function<void()>& handler) {
+        if (handler) {
+            const auto copy = handler;
+            copy();
+        }
+    }
+    void emit(std::string bytes);
+
+    std::weak_ptr<connection> owner_;
+    request_head head_;
+    std::string body_;
+    std::string output_;
+    served_handlers handlers_;
+    body_end answer_framing_ = body_end::none;
+    bool is_body_complete_ = false;
+    bool is_answered_ = false;
+    bool closes_ = false;
+};
+
+class server::impl::connection : public std::enable_shared_from_this<connection> {
+public:
+    explicit connection(impl& owner)
+        : owner_(owner), parser_(owner.limits_.max_head_bytes), changed_at_(uv_now(owner.loop_)) {}
+
+    bool open() {
+        stream_ = tcp_stream::accept(owner_.loop_, reinterpret_cast<uv_stream_t*>(owner_.listener_),
+                                     {{},
+                                      [this](std::string_view bytes) { read(bytes); },
+                                      [this](stream_end) { end(); },
+                                      [this] { drained(); }});
+        return stream_ != nullptr;
+    }
+
+    /// Closes the connection and tells the owners of its requests.
+    void end() {
+        const auto self = shared_from_this();
+        if (is_ended_) {
+            return;
+        }
+        is_ended_ = true;
+        stream_.reset();
+        auto open_requests = std::exchange(requests_, {});
+        owner_.pending_ -= open_requests.size();
+        owner_.remove(this);
+        for (const auto& open : open_requests) {
+            open->set_gone();
+        }
+    }
+
+    void send(std::string bytes) {
+        if (stream_ != nullptr) {
+            stream_->write(std::move(bytes));
+        }
+    }
+
+    /// Sends what the first requests in line have ready.
+    void advance() {
+        if (is_ended_) {
+            return;
+        }
+        const auto self = shared_from_this();
+        while (!requests_.empty()) {
+            auto& first = *requests_.front();
+            first.is_first_ = true;
+            send(first.take_output());
+            if (!first.is_answered()) {
+                break;
+            }
+            const bool closes = first.closes() || is_refusing_;
+            const bool has_body_left = !first.is_body_complete();
+            finished_ = std::move(requests_.front());
+            requests_.pop_front();
+            --owner_.pending_;
+            if (has_body_left) {
+                unread_ = finished_;
+            }
+            if (closes) {
+                close_after_output();
+                return;
+            }
+        }
+        changed_at_ = uv_now(owner_.loop_);
+        adjust_reading();
+    }
+
+    bool will_close() const { return owner_.closes_after_answers_; }
+    std::size_t unsent() const { return stream_ == nullptr ? 0 : stream_->unsent(); }
+
+    void adjust_reading() {
+        if (stream_ == nullptr) {
+            return;
+        }
+        const bool body_waits = !requests_.empty() && requests_.back()->body_size() > max_waiting_body;
+        const bool is_full = requests_.size() >= max_pipelined;
+        if (body_waits || is_full) {
+            stream_->pause_reading();
+        } else {
+            stream_->resume_reading();
+        }
+    }
+
+    void sweep(std::uint64_t now) {
+        const auto age = now - changed_at_;
+        const auto& limits = owner_.limits_;
+        if (!requests_.empty()) {
+            return;
+        }
+        if (parser_.is_in_head()) {
+            if (now - head_began_ > static_cast<std::uint64_t>(limits.head_timeout.count())) {
+                refuse(408, "Request Timeout");
+            }
+        } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count())) {
+            end();
+        }
+    }
+
+private:
+    void read(std::string_view bytes) {
+        const auto self = shared_from_this();
+        changed_at_ = uv_now(owner_.loop_);
+        if (is_refusing_) {
+            return;
+        }
+        const bool was_in_head = parser_.is_in_head();
+        std::vector<request_event> events;
+        parser_.feed(bytes, events);
+        if (parser_.is_in_head() && !(was_in_head && events.empty())) {
+            head_began_ = changed_at_;
+        }
+        for (auto& event : events) {
+            if (is_ended_ || is_refusing_) {
+                return;
+            }
+            std::visit(overloaded{[&](request_head& head) { take(std::move(head)); },
+                                  [&](body_piece& piece) { take_body(std::move(piece.bytes)); },
+                                  [&](const message_end& end) { complete(end.keeps_connection); },
+                                  [&](parse_failure why) { refuse_malformed(why); }},
+                       event);
+        }
+        if (!is_ended_) {
+            adjust_reading();
+        }
+    }
+
+    void take(request_head head) {
+        if (head.framing == body_end::length && head.content_length > owner_.limits_.max_body_bytes) {
+            refuse(413, "Content Too Large");
+            return;
+        }
+        if (find_header(head.headers, "expect") == "100-continue" && requests_.empty()) {
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        unread_.reset();
+        auto made = std::make_shared<request>(weak_from_this(), std::move(head));
+        requests_.push_back(made);
+        latest_ = made;
+        ++owner_.pending_;
+        made->is_first_ = requests_.size() == 1;
+        owner_.on_request_(made);
+    }
+
+    void take_body(std::string bytes) {
+        body_bytes_ += bytes.size();
+        if (unread_ != nullptr) {
+            return;
+        }
+        if (body_bytes_ > owner_.limits_.max_body_bytes) {
+            refuse(413, "Content Too Large");
+            return;
+        }
+        if (const auto latest = latest_.lock()) {
+            latest->add_body(std::move(bytes));
+        }
+    }
+
+    void complete(bool keeps_connection) {
+        body_bytes_ = 0;
+        unread_.reset();
+        const auto latest = latest_.lock();
+        if (latest == nullptr) {
+            return;
+        }
+        if (!keeps_connection) {
+            latest->set_closes();
+        }
+        latest->complete_body();
+    }
+
+    void refuse_malformed(parse_failure why) {
+        if (why == parse_failure::head_too_large) {
+            refuse(431, "Request Header Fields Too Large");
+        } else {
+            refuse(400, "Bad Request");
+        }
+    }
+
+    /// Answers behind all earlier requests and reads nothing more.
+    void refuse(int status, std::string reason) {
+        if (latest_unanswered_refused(status, reason)) {
+            return;
+        }
+        request_head none;
+        auto made = std::make_shared<request>(weak_from_this(), std::move(none));
+        requests_.push_back(made);
+        ++owner_.pending_;
+        made->is_first_ = requests_.size() == 1;
+        made->set_closes();
+        is_refusing_ = true;
+        made->respond(failure_head(status, std::move(reason)), {});
+    }
+
+    /// If the refusal concerns the body of a request that was handed on, it ends that request.
+    bool latest_unanswered_refused(int, const std::string&) {
+        const auto latest = latest_.lock();
+        const bool concerns_latest = latest != nullptr && !latest->is_body_complete() &&
+                                     !requests_.empty() && requests_.back() == latest;
+        if (concerns_latest) {
+            end();
+        }
+        return concerns_latest;
+    }
+
+    void close_after_output() {
+        const auto self = shared_from_this();
+        if (stream_ != nullptr) {
+            auto* last = stream_.release();
+            last->close_when_drained();
+            delete last;
+        }
+        end();
+    }
+
+    void drained() {
+        const auto self = shared_from_this();
+        changed_at_ = uv_now(owner_.loop_);
+        if (!requests_.empty()) {
+            const auto first = requests_.front();
+            first->set_writable();
+        }
+    }
+
+    impl& owner_;
+    request_parser parser_;
+    std::unique_ptr<tcp_stream> stream_;
+    std::deque<std::shared_ptr<request>> requests_;
+    /// The request whose body is being read.
+    std::weak_ptr<request> latest_;
+    /// The last answered request, kept until the call that answered it has returned.
+    std::shared_ptr<request> finished_;
+    /// An answered request the rest of whose body is skipped.
+    std::shared_ptr<request> unread_;
+    std::uint64_t body_bytes_ = 0;
+    std::uint64_t changed_at_;
+    std::uint64_t head_began_ = 0;
+    bool is_ended_ = false;
+    bool is_refusing_ = false;
+};
+
+std::string server::impl::request::take_body() {
+    auto taken = std::exchange(body_, {});
+    if (const auto owner = owner_.lock()) {
+        owner->adjust_reading();
+    }
+    return taken;
+}
+
+void server::impl::request::respond(response_head head, std::string_view body) {
+    const bool has_framing = head.framing != body_end::none || !body.empty();
+    head.framing = has_framing ? body_end::length : body_end::none;
+    head.content_length = body.size();
+    const auto owner = owner_.lock();
+    if (owner == nullptr || is_answered_) {
+        return;
+    }
+    closes_ = closes_ || owner->will_close();
+    auto bytes = to_bytes(head, closes_);
+    if (head_.method != "HEAD") {
+        bytes += body;
+    }
+    is_answered_ = true;
+    output_ += bytes;
+    owner->advance();
+}
+
+void server::impl::request::begin(response_head head) {
+    const auto owner = owner_.lock();
+    if (owner == nullptr) {
+        return;
+    }
+    if (head.framing == body_end::connection_close) {
+        head.framing = body_end::chunks;
+    }
+    answer_framing_ = head.framing;
+    closes_ = closes_ || owner->will_close();
+    emit(to_bytes(head, closes_));
+}
+
+void server::impl::request::write(std::string_view bytes) {
+    if (!bytes.empty()) {
+        emit(answer_framing_ == body_end::chunks ? to_chunk(bytes) : std::string(bytes));
+    }
+}
+
+void server::impl::request::finish() {
+    if (answer_framing_ == body_end::chunks) {
+        output_ += last_chunk;
+    }
+    is_answered_ = true;
+    if (const auto owner = owner_.lock()) {
+        owner->advance();
+    }
+}
+
+void server::impl::request::abort() {
+    if (const auto owner = owner_.lock()) {
+        handlers_ = {};
+        owner->end();
+    }
+}
+
+std::size_t server::impl::request::unsent() const {
+    const auto owner = owner_.lock();
+    return output_.size() + (owner == nullptr || !is_first_ ? 0 : owner->unsent());
+}
+
+void server::impl::request::emit(std::string bytes) {
+    const auto owner = owner_.lock();
+    if (owner == nullptr) {
+        return;
+    }
+    if (is_first_) {
+        owner->send(std::move(bytes));
+    } else {
+        output_ += bytes;
+    }
+}
+
+absl::Status server::impl::open(const endpoint& where) {
+    sockaddr_in address{};
+    if (uv_ip4_addr(where.ip.c_str(), where.port, &address) != 0) {
+        return make_error(server_failure::cannot_listen, "not an IPv4 address: " + where.ip);
+    }
+    listener_ = new uv_tcp_t;
+    uv_tcp_init(loop_, listener_);
+    listener_->data = this;
+    int result = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (result == 0) {
+        result = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), accept_backlog,
+                           [](uv_stream_t* handle, int status) {
+                               if (status == 0) {
+                                   static_cast<impl*>(handle->data)->accept();
+                               }
+                           });
+    }
+    if (result != 0) {
+        return make_error(server_failure::cannot_listen,
+                          fmt::format("{}: {}", to_string(where), uv_strerror(result)));
+    }
+    return absl::OkStatus();
+}
+
+void server::impl::accept() {
+    auto made = std::make_shared<connection>(*this);
+    if (made->open()) {
+        connections_.emplace(made.get(), made);
+    }
+}
+
+void server::impl::remove(connection* gone) {
+    connections_.erase(gone);
+}
+
+server::server(std::unique_ptr<impl> made) : impl_(std::move(made)) {}
+
+absl::StatusOr<std::unique_ptr<server>> server::listen(uv_loop_s* loop, const endpoint& where,
+                                                       server_limits limits,
+                                                       request_handler on_request) {
+    std::unique_ptr<server> made(
+        new server(std::make_unique<impl>(loop, limits, std::move(on_request))));
+    const auto opened = made->impl_->open(where);
+    if (!opened.ok()) {
+        return opened;
+    }
+    return made;
+}
+
+server::~server() {
+    const auto open = impl_->connections_;
+    for (const auto& [key, held] : open) {
+        held->end();
+    }
+    if (impl_->listener_ != nullptr) {
+        uv_close(reinterpret_cast<uv_handle_t*>(impl_->listener_),
+                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+    }
+}
+
+void server::set_limits(server_limits limits) {
+    impl_->limits_ = limits;
+}
+
+void server::close_connections_after_answers() {
+    impl_->closes_after_answers_ = true;
+}
+
+std::size_t server::pending() const {
+    return impl_->pending_;
+}
+
+std::size_t server::connections() const {
+    return impl_->connections_.size();
+}
+
+void server::sweep() {
+    const auto now = uv_now(impl_->loop_);
+    const auto open = impl_->connections_;
+    for (const auto& [key, held] : open) {
+        held->sweep(now);
+    }
+}
+
+} // namespace trefoil::http1
--- /dev/null
+++ b/libs/http1/src/tcp_stream.cpp
@@ -0,0 +1,332 @@
+#include <trefoil/http1/tcp_stream.hpp>
+
+#include <array>
+#include <deque>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+namespace trefoil::http1 {
+namespace {
+
+/// Time after which unacknowledged bytes end a connection, in milliseconds.
+constexpr unsigned user_timeout_ms = 2500;
+/// Idle time before a keep-alive probe and between probes, in seconds.
+constexpr int keep_alive_idle_s = 2;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+constexpr std::size_t read_buffer_bytes = 65536;
+/// Time that a closing connection may take to send what is left, in milliseconds.
+constexpr std::uint64_t linger_ms = 2000;
+
+/// All streams of the one loop share a buffer, since reads are handled before the next one starts.
+std::array<char, read_buffer_bytes>& shared_read_buffer() {
+    static std::array<char, read_buffer_bytes> buffer;
+    return buffer;
+}
+
+void set_option(int socket, int level, int option, int value) {
+    setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+void detect_dead_peers(uv_tcp_t* handle) {
+    uv_os_fd_t socket = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(handle), &socket) != 0) {
+        return;
+    }
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+} // namespace
+
+/// The handle outlives the stream until libuv has closed it.
+class tcp_stream::impl {
+public:
+    impl(uv_loop_t* loop, stream_handlers handlers) : handlers_(std::move(handlers)) {
+        uv_tcp_init(loop, &handle_);
+        handle_.data = this;
+        uv_timer_init(loop, &linger_);
+        linger_.data = this;
+        connect_.data = this;
+    }
+
+    uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
+
+    void connect(const endpoint& to) {
+        sockaddr_in address{};
+        if (uv_ip4_addr(to.ip.c_str(), to.port, &address) != 0) {
+            fails_at_once_ = true;
+        }
+        const int made =
+            fails_at_once_ ? UV_EINVAL
+                           : uv_tcp_connect(&connect_, &handle_,
+                                            reinterpret_cast<const sockaddr*>(&address),
+                                            [](uv_connect_t* request, int status) {
+                                                static_cast<impl*>(request->data)->connected(status);
+                                            });
+        if (made != 0) {
+            report_failed_connect();
+            return;
+        }
+        detect_dead_peers(&handle_);
+    }
+
+    void accepted() {
+        detect_dead_peers(&handle_);
+        opened();
+    }
+
+    void opened() {
+        is_connected_ = true;
+        uv_tcp_nodelay(&handle_, 1);
+        start_reading();
+    }
+
+    void write(std::string bytes) {
+        if (is_closing_ || bytes.empty()) {
+            return;
+        }
+        if (!is_connected_) {
+            before_connect_ += bytes;
+            return;
+        }
+        std::size_t sent = 0;
+        if (unsent_ == 0) {
+            const auto buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            const int result = uv_try_write(stream(), &buffer, 1);
+            sent = result > 0 ? static_cast<std::size_t>(result) : 0;
+        }
+        if (sent < bytes.size()) {
+            enqueue(bytes.substr(sent));
+        }
+    }
+
+    std::size_t unsent() const { return unsent_ + before_connect_.size(); }
+    bool is_connected() const { return is_connected_; }
+
+    void pause() {
+        is_paused_ = true;
+        uv_read_stop(stream());
+    }
+
+    void resume() {
+        if (is_paused_) {
+            is_paused_ = false;
+            start_reading();
+        }
+    }
+
+    /// The owner is gone; the handle is closed now or when it has sent everything.
+    void release(bool drains) {
+        handlers_ = {};
+        if (drains && is_connected_ && unsent_ > 0) {
+            is_draining_ = true;
+            uv_read_stop(stream());
+            uv_timer_start(
+                &linger_, [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->close(); },
+                linger_ms, 0);
+            return;
+        }
+        close();
+    }
+
+private:
+    struct write_request {
+        uv_write_t request;
+        std::string bytes;
+    };
+
+    void connected(int status) {
+        if (is_closing_) {
+            return;
+        }
+        if (status != 0) {
+            end(stream_end::not_connected);
+            return;
+        }
+        opened();
+        auto waiting = std::exchange(before_connect_, {});
+        if (handlers_.on_connected) {
+            // A copy, since the handler may destroy the stream and with it the handler.
+            const auto handler = handlers_.on_connected;
+            handler();
+        }
+        write(std::move(waiting));
+    }
+
+    void report_failed_connect() {
+        uv_timer_start(
+            &linger_,
+            [](uv_timer_t* timer) {
+                static_cast<impl*>(timer->data)->end(stream_end::not_connected);
+            },
+            0, 0);
+    }
+
+    void start_reading() {
+        if (is_closing_ || is_paused_ || !is_connected_) {
+            return;
+        }
+        uv_read_start(
+            stream(),
+            [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+                *buffer = uv_buf_init(shared_read_buffer().data(), read_buffer_bytes);
+            },
+            [](uv_stream_t* from, ssize_t count, const uv_buf_t* buffer) {
+                static_cast<impl*>(from->data)->read(count, buffer->base);
+            });
+    }
+
+    void read(ssize_t count, const char* bytes) {
+        if (count > 0 && handlers_.on_data) {
+            const auto handler = handlers_.on_data;
+            handler({bytes, static_cast<std::size_t>(count)});
+        } else if (count < 0) {
+            end(count == UV_EOF && !was_reset() ? stream_end::closed : stream_end::lost);
+        }
+    }
+
+    /// libuv reports the end of file also for a reset that follows the last bytes closely; the
+    /// socket still holds the error then.
+    bool was_reset() {
+        uv_os_fd_t socket = -1;
+        int error = 0;
+        socklen_t length = sizeof(error);
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) != 0 ||
+            getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length) != 0) {
+            return true;
+        }
+        return error != 0;
+    }
+
+    void end(stream_end how) {
+        uv_read_stop(stream());
+        if (handlers_.on_end) {
+            const auto handler = handlers_.on_end;
+            handler(how);
+        }
+    }
+
+    void enqueue(std::string bytes) {
+        auto* item = new write_request{{}, std::move(bytes)};
+        unsent_ += item->bytes.size();
+        item->request.data = this;
+        const auto buffer =
+            uv_buf_init(item->bytes.data(), static_cast<unsigned>(item->bytes.size()));
+        uv_write(&item->request, stream(), &buffer, 1, [](uv_write_t* request, int status) {
+            auto* done = reinterpret_cast<write_request*>(request);
+            auto* owner = static_cast<impl*>(request->data);
+            owner->unsent_ -= done->bytes.size();
+            delete done;
+            owner->wrote(status);
+        });
+    }
+
+    void wrote(int status) {
+        if (is_closing_) {
+            return;
+        }
+        if (status != 0) {
+            if (is_draining_) {
+                close();
+            } else {
+                end(stream_end::lost);
+            }
+            return;
+        }
+        if (unsent_ > 0) {
+            return;
+        }
+        if (is_draining_) {
+            close();
+        } else if (handlers_.on_drained) {
+            const auto handler = handlers_.on_drained;
+            handler();
+        }
+    }
+
+    void close() {
+        if (is_closing_) {
+            return;
+        }
+        is_closing_ = true;
+        const auto closed = [](uv_handle_t* handle) {
+            auto* self = static_cast<impl*>(handle->data);
+            if (--self->open_handles_ == 0) {
+                delete self;
+            }
+        };
+        uv_close(reinterpret_cast<uv_handle_t*>(&handle_), closed);
+        uv_close(reinterpret_cast<uv_handle_t*>(&linger_), closed);
+    }
+
+    uv_tcp_t handle_{};
+    uv_timer_t linger_{};
+    uv_connect_t connect_{};
+    stream_handlers handlers_;
+    std::string before_connect_;
+    std::size_t unsent_ = 0;
+    int open_handles_ = 2;
+    bool is_connected_ = false;
+    bool is_paused_ = false;
+    bool is_closing_ = false;
+    bool is_draining_ = false;
+    bool fails_at_once_ = false;
+};
+
+std::unique_ptr<tcp_stream> tcp_stream::connect(uv_loop_s* loop, const endpoint& to,
+                                                stream_handlers handlers) {
+    auto* made = new impl(loop, std::move(handlers));
+    made->connect(to);
+    return std::unique_ptr<tcp_stream>(new tcp_stream(made));
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::accept(uv_loop_s* loop, uv_stream_s* listener,
+                                               stream_handlers handlers) {
+    auto* made = new impl(loop, std::move(handlers));
+    if (uv_accept(listener, made->stream()) != 0) {
+        made->release(false);
+        return nullptr;
+    }
+    made->accepted();
+    return std::unique_ptr<tcp_stream>(new tcp_stream(made));
+}
+
+tcp_stream::~tcp_stream() {
+    if (impl_ != nullptr) {
+        impl_->release(false);
+    }
+}
+
+void tcp_stream::write(std::string bytes) {
+    impl_->write(std::move(bytes));
+}
+
+std::size_t tcp_stream::unsent() const {
+    return impl_->unsent();
+}
+
+bool tcp_stream::is_connected() const {
+    return impl_->is_connected();
+}
+
+void tcp_stream::pause_reading() {
+    impl_->pause();
+}
+
+void tcp_stream::resume_reading() {
+    impl_->resume();
+}
+
+void tcp_stream::close_when_drained() {
+    impl_->release(true);
+    impl_ = nullptr;
+}
+
+} // namespace trefoil::http1
--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -9,7 +9,7 @@
 #include <uv.h>
 
 #include <trefoil/base/random.hpp>
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
 
 namespace trefoil {
--- a/libs/node/src/message_rules.cpp
+++ b/libs/node/src/message_rules.cpp
@@ -7,7 +7,7 @@
 #include <trefoil/base/error.hpp>
 #include <trefoil/base/hash.hpp>
 #include <trefoil/base/overloaded.hpp>
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/node/refusal_answer.hpp>
 #include <trefoil/wire/codec.hpp>
 
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -11,7 +11,7 @@
 #include <trefoil/control/control_channel.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/http/http_server.hpp>
-#include <trefoil/platform/platform_client.hpp>
+#include <trefoil/config_service/config_client.hpp>
 
 #include "admin_pages.hpp"
 #include "message_rules.hpp"
--- /dev/null
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -0,0 +1,68 @@
+// Decides when a topic of the registry is read and watched.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+#include <trefoil/base/random.hpp>
+#include <trefoil/proxy/registry.hpp>
+
+namespace trefoil {
+
+/// Read the whole topic now.
+struct read_topic {
+    friend bool operator==(const read_topic&, const read_topic&) = default;
+};
+
+/// Wait for changes after the revision.
+struct watch_topic {
+    std::uint64_t after = 0;
+    duration wait{0};
+
+    friend bool operator==(const watch_topic&, const watch_topic&) = default;
+};
+
+/// Do nothing for some time, then ask again.
+struct pause_topic {
+    duration time{0};
+
+    friend bool operator==(const pause_topic&, const pause_topic&) = default;
+};
+
+using follow_step = std::variant<read_topic, watch_topic, pause_topic>;
+
+/// Follows one topic: a full read, then one watch after the other. A watch continues from the last
+/// revision that brought changes, since an empty answer says nothing of changes that the watch has
+/// missed. After a failure everything is read again, after a pause that grows and has jitter, so that
+/// a returning store is not met by all nodes at once.
+class registry_follower {
+public:
+    explicit registry_follower(std::uint64_t seed) : random_(seed) {}
+
+    /// What to do now.
+    follow_step next();
+
+    /// The last step gave an answer that leads to the revision.
+    void succeeded(std::uint64_t revision, bool has_changes);
+
+    /// The last step failed.
+    void failed(registry_problem why);
+
+    /// True between a failure to reach the store and the next success.
+    bool is_lost() const { return failures_ > 0; }
+
+    /// Longest wait of one watch. A connection that has gone silent is noticed after it.
+    static constexpr duration watch_wait = 3500ms;
+
+private:
+    static constexpr duration first_pause = 100ms;
+    static constexpr duration longest_pause = 600ms;
+
+    random_source random_;
+    std::optional<std::uint64_t> revision_;
+    std::uint32_t failures_ = 0;
+    bool has_paused_ = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/inbound_call.cpp
@@ -0,0 +1,173 @@
+#include "inbound_call.hpp"
+
+#include <charconv>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/header_rules.hpp>
+
+#include "own_answer.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Bodies up to this size are read before the request is queued.
+constexpr std::size_t max_held_body = 256U << 10U;
+
+} // namespace
+
+void inbound_call::serve(proxy_state& state, std::shared_ptr<http1::served_request> request) {
+    const auto call = std::make_shared<inbound_call>(state, std::move(request));
+    call->start();
+}
+
+inbound_call::inbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
+    : state_(state), request_(std::move(request)), arrived_(state.now()) {}
+
+void inbound_call::start() {
+    const auto& headers = request_->head().headers;
+    const auto& fields = state_.settings.fields;
+    request_id_ = std::string(find_header(headers, fields.request_id));
+    const auto terms = decode_terms(find_header(headers, terms_field));
+    if (!terms) {
+        answer(refused_for(refusal::bad_request));
+        return;
+    }
+    terms_ = *terms;
+    std::int64_t left_ms = 0;
+    const auto text = find_header(headers, fields.time_left);
+    std::from_chars(text.data(), text.data() + text.size(), left_ms);
+    terms_.remaining = std::chrono::milliseconds(left_ms);
+    const auto* own = state_.directory.at_address(state_.settings.target);
+    const bool is_leaving =
+        state_.is_stopping || (own != nullptr && own->state == listed_state::draining);
+    if (is_leaving) {
+        answer(refused_for(refusal::leaving));
+        return;
+    }
+    const auto self = shared_from_this();
+    request_->set_handlers({[self] { self->body_arrived(); },
+                            [self] {
+                                self->is_over_ = true;
+                                self->work_.reset();
+                            },
+                            [self] {
+                                if (self->relay_ && self->work_ != nullptr) {
+                                    self->relay_->resume(*self->work_);
+                                }
+                            }});
+    body_arrived();
+}
+
+void inbound_call::body_arrived() {
+    if (is_over_) {
+        return;
+    }
+    if (!is_submitted_) {
+        if (request_->is_body_complete() || request_->body_size() > max_held_body) {
+            submit();
+        }
+        return;
+    }
+    if (!is_body_sent_ && work_ != nullptr) {
+        work_->send_body(request_->take_body());
+        if (request_->is_body_complete()) {
+            is_body_sent_ = true;
+            work_->finish_body();
+        }
+    }
+}
+
+gate_request inbound_call::make_gate_request() {
+    const auto& original = request_->head();
+    gate_request made;
+    made.head.method = original.method;
+    made.head.target = original.target;
+    made.head.headers = end_to_end(original.headers);
+    std::erase_if(made.head.headers,
+                  [](const http_header& field) { return is_peer_field(field.name); });
+    made.head.framing = original.framing;
+    made.head.content_length = original.content_length;
+    made.body = request_->take_body();
+    made.is_body_complete = request_->is_body_complete();
+    made.terms = terms_;
+    made.terms.remaining = std::max<duration>(terms_.remaining - (state_.now() - arrived_), 1ms);
+    made.request_id = request_id_;
+    return made;
+}
+
+void inbound_call::submit() {
+    is_submitted_ = true;
+    is_body_sent_ = request_->is_body_complete();
+    auto made = state_.gate.submit(make_gate_request(),
+                                   [this](attempt_event event) { take(std::move(event)); });
+    if (auto* refused = std::get_if<attempt_refusal>(&made)) {
+        take(*refused);
+        return;
+    }
+    work_ = std::move(std::get<std::unique_ptr<attempt>>(made));
+}
+
+void inbound_call::take(attempt_event event) {
+    const auto self = shared_from_this();
+    if (is_over_) {
+        return;
+    }
+    std::visit(overloaded{[&](attempt_reply& reply) {
+                              const bool is_complete = reply.is_complete;
+                              relay_.emplace(request_);
+                              relay_->begin(std::move(reply), load_header());
+                              if (is_complete) {
+                                  end();
+                              }
+                          },
+                          [&](const http1::body_piece& piece) { relay_->pass(piece.bytes, *work_); },
+                          [&](const http1::message_end&) {
+                              relay_->finish();
+                              end();
+                          },
+                          [&](const attempt_refusal& refused) { answer(refused); },
+                          [&](const attempt_failure& failed) {
+                              if (relay_) {
+                                  relay_->abort();
+                                  end();
+                              } else {
+                                  answer(failed);
+                              }
+                          }},
+               event);
+}
+
+std::vector<http_header> inbound_call::load_header() const {
+    return {{std::string(load_field), encode_load(state_.gate.load())}};
+}
+
+void inbound_call::answer(const peer_verdict& verdict) {
+    const auto* refused = std::get_if<attempt_refusal>(&verdict);
+    auto head = own_answer(refused != nullptr ? 503 : 502);
+    head.headers = load_header();
+    head.headers.push_back({std::string(verdict_field), encode_verdict(verdict)});
+    if (refused != nullptr) {
+        state_.metrics.refused_here(refused->reason);
+    }
+    state_.note(log_class::trouble, [&] {
+        const auto load = state_.gate.load();
+        return log_record{refused != nullptr ? log_event::run_refused : log_event::run_failed,
+                          {{"id", request_id_},
+                           {"route", terms_.route},
+                           {"verdict", encode_verdict(verdict)},
+                           {"in_flight", std::to_string(load.in_flight)},
+                           {"queued", std::to_string(load.queued)},
+                           {"limit", std::to_string(load.limit)}}};
+    });
+    request_->respond(std::move(head), {});
+    end();
+}
+
+void inbound_call::end() {
+    const auto self = shared_from_this();
+    is_over_ = true;
+    work_.reset();
+    request_->set_handlers({});
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/outbound_call.cpp
@@ -0,0 +1,500 @@
+#include "outbound_call.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/header_rules.hpp>
+
+#include "own_answer.hpp"
+#include "peer_attempt.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Bodies up to this size are held so that they can be sent again.
+constexpr std::size_t max_held_body = 256U << 10U;
+/// Nodes that are asked at most for one request, most of which refuse before their target.
+constexpr std::uint32_t max_tries = 5;
+/// A repeat is not begun with less time left than this.
+constexpr duration least_time_for_repeat = 30ms;
+/// Share of the remaining time that a request may be queued once its target latency is over.
+constexpr int late_patience_divisor = 4;
+/// Retry time when no instance is known.
+constexpr duration no_instance_retry = 300ms;
+
+std::optional<duration> milliseconds_of(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || value < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+std::string ms_text(duration value) {
+    return fmt::format("{:.0f}", to_ms(value));
+}
+
+attempt_result placement_end(refusal reason) {
+    switch (reason) {
+    case refusal::target_down:
+        return attempt_result::failed;
+    case refusal::leaving:
+    case refusal::no_instance:
+        return attempt_result::refused_leaving;
+    default:
+        return attempt_result::refused_load;
+    }
+}
+
+} // namespace
+
+void outbound_call::serve(proxy_state& state, std::shared_ptr<http1::served_request> request) {
+    const auto call = std::make_shared<outbound_call>(state, std::move(request));
+    call->start();
+}
+
+outbound_call::outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
+    : state_(state), request_(std::move(request)), arrived_(state.now()), timer_(new uv_timer_t) {
+    uv_timer_init(state_.loop, timer_);
+    timer_->data = this;
+}
+
+outbound_call::~outbound_call() {
+    uv_timer_stop(timer_);
+    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
+}
+
+void outbound_call::start() {
+    state_.last_request = arrived_;
+    request_id_ = std::string(find_header(request_->head().headers, state_.settings.fields.request_id));
+    if (!read_terms()) {
+        return;
+    }
+    arm_timer();
+    const auto self = shared_from_this();
+    request_->set_handlers({[self] { self->body_arrived(); }, [self] { self->client_gone(); },
+                            [self] {
+                                if (self->relay_ && !self->tries_.empty()) {
+                                    self->relay_->resume(*self->tries_.front().work);
+                                }
+                            }});
+    body_arrived();
+}
+
+bool outbound_call::read_terms() {
+    const auto& head = request_->head();
+    if (state_.routes == nullptr) {
+        refuse(refusal::no_table);
+        return false;
+    }
+    config_version_ = state_.routes->config().version;
+    route_ = state_.routes->find(find_header(head.headers, "host"), head.target);
+    if (route_ == nullptr) {
+        answer(own_answer(404));
+        end(call_end::refused, 404, "no_route");
+        return false;
+    }
+    const auto& fields = state_.settings.fields;
+    const auto left = milliseconds_of(find_header(head.headers, fields.time_left));
+    give_up_at_ = arrived_ + std::min(left.value_or(route_->timeout), route_->timeout);
+    service_ = state_.rotation.next(*route_);
+    state_.repeats.requested(arrived_, service_);
+    headers_ = end_to_end(head.headers);
+    std::erase_if(headers_, [&](const http_header& field) {
+        return is_peer_field(field.name) || field.name == fields.expected_instance;
+    });
+    set_header(headers_, fields.caller_service, state_.settings.service.str());
+    return true;
+}
+
+void outbound_call::arm_timer() {
+    const auto wait = std::max<duration>(give_up_at_ - state_.now(), 0ms);
+    uv_timer_start(
+        timer_,
+        [](uv_timer_t* timer) {
+            const auto self = static_cast<outbound_call*>(timer->data)->shared_from_this();
+            self->time_out();
+        },
+        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count()), 0);
+}
+
+void outbound_call::body_arrived() {
+    if (is_over_) {
+        return;
+    }
+    if (is_started_) {
+        send_more_body();
+        return;
+    }
+    if (!request_->is_body_complete() && request_->body_size() <= max_held_body) {
+        return;
+    }
+    is_started_ = true;
+    is_body_whole_ = request_->is_body_complete();
+    body_ = request_->take_body();
+    next_try();
+}
+
+void outbound_call::send_more_body() {
+    if (is_body_whole_ || tries_.empty()) {
+        return;
+    }
+    auto& work = *tries_.front().work;
+    work.send_body(request_->take_body());
+    if (request_->is_body_complete()) {
+        is_body_whole_ = true;
+        body_.clear();
+        work.finish_body();
+    }
+}
+
+void outbound_call::client_gone() {
+    if (is_over_) {
+        return;
+    }
+    end(call_end::abandoned, 0, "client_closed");
+}
+
+bool outbound_call::is_idempotent() const {
+    return route_->repeats == repeatability::idempotent;
+}
+
+duration outbound_call::elapsed() const {
+    return state_.now() - arrived_;
+}
+
+placement_request outbound_call::place_request() const {
+    return {service_, route_->name, route_->target_latency, excluded_};
+}
+
+run_terms outbound_call::terms_now() const {
+    run_terms terms;
+    terms.route = route_->name;
+    terms.priority = route_->priority;
+    terms.repeats = route_->repeats;
+    terms.remaining = std::max<duration>(give_up_at_ - state_.now(), 1ms);
+    const auto useful = route_->target_latency - elapsed();
+    terms.useful = useful > duration{0} ? useful : terms.remaining / late_patience_divisor;
+    return terms;
+}
+
+bool outbound_call::may_repeat() {
+    if (reached_targets_ >= route_->max_attempts || tries_made_ >= max_tries) {
+        return false;
+    }
+    if (may_have_run_ && !is_idempotent()) {
+        return false;
+    }
+    const bool was_streamed = tries_made_ > 0 && !is_body_whole_;
+    const bool was_dropped = tries_made_ > 0 && is_body_whole_ && body_.empty() &&
+                             request_->head().framing != http1::body_end::none &&
+                             request_->head().content_length > max_held_body;
+    if (was_streamed || was_dropped) {
+        return false;
+    }
+    return tries_made_ == 0 || give_up_at_ - state_.now() > least_time_for_repeat;
+}
+
+void outbound_call::next_try() {
+    if (!may_repeat()) {
+        conclude();
+        return;
+    }
+    const auto instance = state_.places.choose(state_.now(), state_.directory, place_request());
+    if (!instance) {
+        if (last_refusal_ == refusal::none) {
+            last_refusal_ = refusal::no_instance;
+            retry_after_ = no_instance_retry;
+        }
+        conclude();
+        return;
+    }
+    const bool is_repeat = reached_targets_ > 0;
+    if (is_repeat && !state_.repeats.take(state_.now(), service_)) {
+        state_.metrics.repeated("not_allowed");
+        conclude();
+        return;
+    }
+    begin_try(*instance, is_repeat);
+}
+
+http1::request_head outbound_call::head_for(const listed_instance& instance) const {
+    const auto& original = request_->head();
+    http1::request_head head;
+    head.method = original.method;
+    head.target = original.target;
+    head.headers = headers_;
+    set_header(head.headers, state_.settings.fields.expected_instance, instance.id.str());
+    if (is_body_whole_) {
+        const bool has_body = !body_.empty() || original.framing != http1::body_end::none;
+        head.framing = has_body ? http1::body_end::length : http1::body_end::none;
+        head.content_length = body_.size();
+    } else {
+        head.framing = original.framing;
+        head.content_length = original.content_length;
+    }
+    return head;
+}
+
+void outbound_call::begin_try(const listed_instance& instance, bool is_repeat) {
+    const auto now = state_.now();
+    const auto number = next_number_++;
+    ++tries_made_;
+    ++reached_targets_;
+    if (tries_made_ > 1) {
+        state_.metrics.repeated(last_problem_);
+        state_.note(log_class::trouble, [&] {
+            return log_record{log_event::attempt_repeated,
+                              {{"id", request_id_},
+                               {"route", route_->name},
+                               {"after", last_problem_},
+                               {"try", std::to_string(tries_made_)},
+                               {"instance", instance.id.str()},
+                               {"elapsed_ms", ms_text(elapsed())}}};
+        });
+    }
+    excluded_.push_back(instance.id);
+    state_.places.started(now, instance.id);
+    tries_.push_front({number, instance.id, now, is_repeat, nullptr});
+    auto handler = [this, number](attempt_event event) { take(number, std::move(event)); };
+    if (instance.target == state_.settings.target) {
+        auto made = state_.gate.submit(
+            {head_for(instance), body_, is_body_whole_, terms_now(), request_id_},
+            std::move(handler));
+        if (auto* refused = std::get_if<attempt_refusal>(&made)) {
+            take(number, *refused);
+            return;
+        }
+        tries_.front().work = std::move(std::get<std::unique_ptr<attempt>>(made));
+        return;
+    }
+    const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
+    tries_.front().work =
+        start_peer_attempt(state_.peers, state_.settings.fields,
+                           {peer, head_for(instance), body_, is_body_whole_, terms_now()},
+                           std::move(handler));
+}
+
+void outbound_call::take(std::uint64_t number, attempt_event event) {
+    const auto self = shared_from_this();
+    const auto at = std::find_if(tries_.begin(), tries_.end(),
+                                 [&](const running_try& entry) { return entry.number == number; });
+    if (is_over_ || at == tries_.end()) {
+        return;
+    }
+    std::visit(overloaded{[&](attempt_reply& reply) { take_reply(at, std::move(reply)); },
+                          [&](const http1::body_piece& piece) { take_piece(piece); },
+                          [&](const http1::message_end&) {
+                              relay_->finish();
+                              end(call_end::served, 0, "");
+                          },
+                          [&](const attempt_refusal& refused) { take_refusal(at, refused); },
+                          [&](const attempt_failure& failed) { take_failure(at, failed); }},
+               event);
+}
+
+void outbound_call::take_refusal(tries::iterator at, const attempt_refusal& refused) {
+    note_placement(*at, placement_end(refused.reason), refused.load);
+    if (refused.reason == refusal::leaving) {
+        state_.places.set_leaving(state_.now(), at->instance);
+    }
+    if (!refused.reached_target) {
+        --reached_targets_;
+        if (at->is_repeat) {
+            state_.repeats.give_back(state_.now(), service_);
+        }
+    }
+    last_refusal_ = refused.reason;
+    last_problem_ = std::string(name_of(refused.reason));
+    retry_after_ = std::max(retry_after_, refused.retry_after);
+    tries_.erase(at);
+    if (tries_.empty()) {
+        next_try();
+    }
+}
+
+void outbound_call::take_failure(tries::iterator at, const attempt_failure& failed) {
+    note_placement(*at, attempt_result::failed, std::nullopt);
+    if (relay_) {
+        relay_->abort();
+        end(call_end::failed, 0, name_of(failed.problem));
+        return;
+    }
+    may_have_run_ = true;
+    last_problem_ = std::string(name_of(failed.problem));
+    tries_.erase(at);
+    if (tries_.empty()) {
+        next_try();
+    }
+}
+
+void outbound_call::take_reply(tries::iterator at, attempt_reply reply) {
+    const bool is_error = reply.head.status >= 500;
+    note_placement(*at, is_error ? attempt_result::answered_error : attempt_result::answered,
+                   reply.load);
+    const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
+                                    reply.head.status != 504 && !fallback_;
+    if (!is_worth_repeating) {
+        deliver(at, std::move(reply));
+        return;
+    }
+    may_have_run_ = true;
+    last_problem_ = fmt::format("status_{}", reply.head.status);
+    fallback_ = std::move(reply);
+    tries_.erase(at);
+    next_try();
+}
+
+void outbound_call::deliver(tries::iterator at, attempt_reply reply) {
+    const auto status = reply.head.status;
+    const bool is_complete = reply.is_complete;
+    tries chosen;
+    chosen.splice(chosen.begin(), tries_, at);
+    drop_tries();
+    tries_ = std::move(chosen);
+    relay_.emplace(request_);
+    relay_->begin(std::move(reply), {});
+    if (is_complete) {
+        end(status < 500 ? call_end::served : call_end::target_error, status, "");
+    }
+}
+
+void outbound_call::take_piece(const http1::body_piece& piece) {
+    relay_->pass(piece.bytes, *tries_.front().work);
+}
+
+void outbound_call::conclude() {
+    if (!tries_.empty() || is_over_) {
+        return;
+    }
+    if (fallback_) {
+        const auto status = fallback_->head.status;
+        relay_.emplace(request_);
+        relay_->begin(std::move(*fallback_), {});
+        end(call_end::target_error, status, last_problem_);
+        return;
+    }
+    if (may_have_run_) {
+        answer(own_answer(502));
+        end(call_end::failed, 502, last_problem_);
+        return;
+    }
+    refuse(last_refusal_);
+}
+
+void outbound_call::time_out() {
+    if (is_over_) {
+        return;
+    }
+    if (relay_) {
+        // The answer is on its way and is delivered late.
+        return;
+    }
+    const bool may_have_run =
+        may_have_run_ || std::any_of(tries_.begin(), tries_.end(), [](const running_try& entry) {
+            return entry.work == nullptr || entry.work->may_have_run();
+        });
+    if (fallback_ || !may_have_run) {
+        last_refusal_ = last_refusal_ == refusal::none ? refusal::deadline : last_refusal_;
+        drop_tries();
+        conclude();
+        return;
+    }
+    answer(own_answer(504));
+    end(call_end::timed_out, 504, "timeout");
+}
+
+void outbound_call::refuse(refusal reason) {
+    const auto priority = route_ == nullptr ? 0 : route_->priority;
+    const auto retry = retry_time(retry_after_, priority, state_.random);
+    state_.metrics.refused_here(reason);
+    answer(refusal_answer(retry));
+    end(call_end::refused, 503, name_of(reason));
+}
+
+void outbound_call::answer(http1::response_head head) {
+    if (!request_id_.empty()) {
+        head.headers.push_back({state_.settings.fields.request_id, request_id_});
+    }
+    request_->respond(std::move(head), {});
+}
+
+void outbound_call::note_placement(const running_try& done, attempt_result result,
+                                   const std::optional<load_report>& load) {
+    const auto now = state_.now();
+    const auto change = state_.places.finished(now, place_request(), done.instance,
+                                               {result, now - done.since, load});
+    if (change.event == ejection_event::none) {
+        return;
+    }
+    state_.note(log_class::state, [&] {
+        return log_record{change.event == ejection_event::ejected ? log_event::instance_ejected
+                                                                  : log_event::instance_returned,
+                          {{"instance", change.instance.str()},
+                           {"service", service_.str()},
+                           {"id", request_id_},
+                           {"after", last_problem_}}};
+    });
+}
+
+void outbound_call::drop_tries() {
+    for (const auto& entry : tries_) {
+        note_placement(entry, attempt_result::withdrawn, std::nullopt);
+    }
+    tries_.clear();
+}
+
+void outbound_call::end(call_end how, int status, std::string_view cause) {
+    const auto self = shared_from_this();
+    is_over_ = true;
+    uv_timer_stop(timer_);
+    const auto took = elapsed();
+    if (how == call_end::served && route_->target_latency > duration{0} &&
+        took > route_->target_latency) {
+        how = call_end::served_late;
+    }
+    const bool was_relayed = how == call_end::served || how == call_end::served_late ||
+                             how == call_end::target_error;
+    const std::string instance = tries_.empty() ? "-" : tries_.front().instance.str();
+    if (was_relayed) {
+        tries_.clear();
+    } else {
+        drop_tries();
+    }
+    request_->set_handlers({});
+    const std::string route_name = route_ == nullptr ? "-" : route_->name;
+    state_.metrics.ended(route_name, how, took);
+    const bool is_routine = how == call_end::served || how == call_end::abandoned;
+    state_.note(is_routine ? log_class::routine : log_class::trouble, [&] {
+        log_event event = log_event::call_failed;
+        if (how == call_end::served) {
+            event = log_event::call_served;
+        } else if (how == call_end::served_late) {
+            event = log_event::call_served_late;
+        } else if (how == call_end::refused) {
+            event = log_event::call_refused;
+        } else if (how == call_end::abandoned) {
+            event = log_event::call_abandoned;
+        }
+        return log_record{event,
+                          {{"id", request_id_},
+                           {"route", route_name},
+                           {"service", service_.str()},
+                           {"instance", instance},
+                           {"end", std::string(name_of(how))},
+                           {"status", std::to_string(status)},
+                           {"cause", cause.empty() ? "-" : std::string(cause)},
+                           {"tries", std::to_string(tries_made_)},
+                           {"took_ms", ms_text(took)},
+                           {"limit_ms", ms_text(give_up_at_ - arrived_)},
+                           {"config", std::to_string(config_version_)}}};
+    });
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/outbound_call.hpp
@@ -0,0 +1,112 @@
+// A request that begins on this machine.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <trefoil/http1/server.hpp>
+#include <trefoil/traffic/placement.hpp>
+
+#include "attempt.hpp"
+#include "peer_message.hpp"
+#include "proxy_metrics.hpp"
+#include "proxy_state.hpp"
+#include "reply_relay.hpp"
+
+struct uv_timer_s;
+
+namespace trefoil {
+
+/// Finds the route, sends the request to one instance after another as far as its kind and the
+/// allowances permit, and answers the client. It lives until the client is answered or gone.
+class outbound_call : public std::enable_shared_from_this<outbound_call> {
+public:
+    /// Takes the request over.
+    static void serve(proxy_state& state, std::shared_ptr<http1::served_request> request);
+
+    outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request);
+    ~outbound_call();
+    outbound_call(const outbound_call&) = delete;
+    outbound_call& operator=(const outbound_call&) = delete;
+
+private:
+    /// One attempt that is under way.
+    struct running_try {
+        std::uint64_t number = 0;
+        instance_id instance;
+        time_point since;
+        /// True if it draws on the allowance of repeats.
+        bool is_repeat = false;
+        std::unique_ptr<attempt> work;
+    };
+    using tries = std::list<running_try>;
+
+    void start();
+    bool read_terms();
+    void arm_timer();
+    void body_arrived();
+    void send_more_body();
+    void client_gone();
+
+    void next_try();
+    bool may_repeat();
+    void begin_try(const listed_instance& instance, bool is_repeat);
+    http1::request_head head_for(const listed_instance& instance) const;
+    run_terms terms_now() const;
+    placement_request place_request() const;
+
+    void take(std::uint64_t number, attempt_event event);
+    void take_refusal(tries::iterator at, const attempt_refusal& refused);
+    void take_failure(tries::iterator at, const attempt_failure& failed);
+    void take_reply(tries::iterator at, attempt_reply reply);
+    void deliver(tries::iterator at, attempt_reply reply);
+    void take_piece(const http1::body_piece& piece);
+    void conclude();
+    void time_out();
+    void refuse(refusal reason);
+    void answer(http1::response_head head);
+
+    void note_placement(const running_try& done, attempt_result end,
+                        const std::optional<load_report>& load);
+    void drop_tries();
+    void end(call_end how, int status, std::string_view cause);
+    duration elapsed() const;
+    bool is_idempotent() const;
+
+    proxy_state& state_;
+    std::shared_ptr<http1::served_request> request_;
+    std::shared_ptr<const route> route_;
+    std::uint64_t config_version_ = 0;
+    service_name service_;
+    std::string request_id_;
+    time_point arrived_;
+    time_point give_up_at_;
+    /// Headers that are passed on, without the instance's.
+    std::vector<http_header> headers_;
+    /// The body as far as it was taken from the client and may have to be sent again.
+    std::string body_;
+    bool is_body_whole_ = false;
+    bool is_started_ = false;
+
+    tries tries_;
+    std::uint64_t next_number_ = 1;
+    std::vector<instance_id> excluded_;
+    std::uint32_t reached_targets_ = 0;
+    std::uint32_t tries_made_ = 0;
+    bool may_have_run_ = false;
+    /// A failure that the target answered, delivered unless a repeat does better.
+    std::optional<attempt_reply> fallback_;
+    refusal last_refusal_ = refusal::none;
+    duration retry_after_{0};
+    std::string last_problem_;
+
+    std::optional<reply_relay> relay_;
+    bool is_over_ = false;
+    uv_timer_s* timer_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -0,0 +1,107 @@
+#include "peer_attempt.hpp"
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/header_rules.hpp>
+
+#include "reply_collector.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Nodes are a few milliseconds away; one that takes no connection by then is cut off or down.
+constexpr std::chrono::milliseconds peer_connect_timeout{400};
+/// A request that can't be repeated avoids connections that the peer may be closing.
+constexpr std::chrono::milliseconds fresh_connection{5000};
+
+class peer_attempt : public attempt {
+public:
+    explicit peer_attempt(attempt_handler on_event) : on_event_(std::move(on_event)) {}
+
+    void start(http1::client& client, const call_fields& fields, peer_request request) {
+        request.head.headers.push_back(
+            {std::string(terms_field), encode_terms(request.terms)});
+        set_header(request.head.headers, fields.time_left,
+                   std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                      request.terms.remaining)
+                                      .count()));
+        http1::exchange_options options;
+        options.connect_timeout = peer_connect_timeout;
+        if (request.terms.repeats == repeatability::at_most_once) {
+            options.max_idle = fresh_connection;
+        }
+        exchange_ = client.start(request.peer, request.head, request.body,
+                                 request.is_body_complete, std::move(options),
+                                 [this](http1::exchange_event event) { take(std::move(event)); });
+    }
+
+    void send_body(std::string_view bytes) override {
+        if (exchange_ != nullptr) {
+            exchange_->send_body(bytes);
+        }
+    }
+    void finish_body() override {
+        if (exchange_ != nullptr) {
+            exchange_->finish_body();
+        }
+    }
+    std::size_t unsent() const override { return exchange_ != nullptr ? exchange_->unsent() : 0; }
+    bool may_have_run() const override { return exchange_ == nullptr || exchange_->was_sent(); }
+    void pause() override {
+        if (exchange_ != nullptr) {
+            exchange_->pause();
+        }
+    }
+    void resume() override {
+        if (exchange_ != nullptr) {
+            exchange_->resume();
+        }
+    }
+
+private:
+    void take(http1::exchange_event event) {
+        auto passed = collector_.take(std::move(event));
+        if (!passed) {
+            return;
+        }
+        if (auto* reply = std::get_if<attempt_reply>(&*passed)) {
+            passed = judge(std::move(*reply));
+        }
+        const auto handler = on_event_;
+        handler(std::move(*passed));
+    }
+
+    /// Separates the target's answers from those that the peer made itself.
+    static attempt_event judge(attempt_reply reply) {
+        reply.load = decode_load(find_header(reply.head.headers, load_field));
+        const auto text = find_header(reply.head.headers, verdict_field);
+        if (text.empty()) {
+            std::erase_if(reply.head.headers,
+                          [](const http_header& field) { return is_peer_field(field.name); });
+            return reply;
+        }
+        auto verdict = decode_verdict(text);
+        if (!verdict) {
+            return attempt_failure{attempt_problem::bad_answer};
+        }
+        if (auto* refused = std::get_if<attempt_refusal>(&*verdict)) {
+            refused->load = reply.load;
+            return *refused;
+        }
+        return std::get<attempt_failure>(*verdict);
+    }
+
+    attempt_handler on_event_;
+    std::unique_ptr<http1::exchange> exchange_;
+    reply_collector collector_;
+};
+
+} // namespace
+
+std::unique_ptr<attempt> start_peer_attempt(http1::client& client, const call_fields& fields,
+                                            peer_request request, attempt_handler on_event) {
+    auto made = std::make_unique<peer_attempt>(std::move(on_event));
+    made->start(client, fields, std::move(request));
+    return made;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/peer_attempt.hpp
@@ -0,0 +1,28 @@
+// A try at another node.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <trefoil/http1/client.hpp>
+#include <trefoil/proxy/call_fields.hpp>
+
+#include "attempt.hpp"
+#include "peer_message.hpp"
+
+namespace trefoil {
+
+/// What is sent to the node beside an instance.
+struct peer_request {
+    endpoint peer;
+    http1::request_head head;
+    std::string body;
+    bool is_body_complete = true;
+    run_terms terms;
+};
+
+/// Sends the request; the handler is called later.
+std::unique_ptr<attempt> start_peer_attempt(http1::client& client, const call_fields& fields,
+                                            peer_request request, attempt_handler on_event);
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/peer_message.cpp
@@ -0,0 +1,142 @@
+#include "peer_message.hpp"
+
+#include <array>
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include <trefoil/base/overloaded.hpp>
+
+namespace trefoil {
+namespace {
+
+/// Splits at a separator into exactly Count parts.
+template <std::size_t Count>
+std::optional<std::array<std::string_view, Count>> split(std::string_view text, char separator) {
+    std::array<std::string_view, Count> parts;
+    for (std::size_t i = 0; i < Count; ++i) {
+        const auto end = text.find(separator);
+        const bool is_last = i + 1 == Count;
+        if (is_last != (end == std::string_view::npos)) {
+            return std::nullopt;
+        }
+        parts[i] = text.substr(0, end);
+        text.remove_prefix(is_last ? text.size() : end + 1);
+    }
+    return parts;
+}
+
+std::optional<std::uint32_t> number(std::string_view text) {
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::int64_t whole_ms(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+std::optional<refusal> refusal_named(std::string_view name) {
+    for (const auto reason : all_refusals()) {
+        if (name_of(reason) == name) {
+            return reason;
+        }
+    }
+    return std::nullopt;
+}
+
+constexpr std::string_view not_run = "not_run";
+constexpr std::string_view unknown = "unknown";
+
+} // namespace
+
+bool is_peer_field(std::string_view name) {
+    return name.starts_with("trefoil-");
+}
+
+std::string encode_terms(const run_terms& terms) {
+    return fmt::format("{} {} {} {} {}", terms.priority,
+                       terms.repeats == repeatability::at_most_once ? 1 : 0,
+                       terms.is_nested ? 1 : 0, whole_ms(terms.useful), terms.route);
+}
+
+std::optional<run_terms> decode_terms(std::string_view text) {
+    const auto parts = split<5>(text, ' ');
+    if (!parts) {
+        return std::nullopt;
+    }
+    const auto priority = number((*parts)[0]);
+    const auto once = number((*parts)[1]);
+    const auto nested = number((*parts)[2]);
+    const auto useful = number((*parts)[3]);
+    if (!priority || !once || !nested || !useful) {
+        return std::nullopt;
+    }
+    run_terms terms;
+    terms.priority = *priority;
+    terms.repeats = *once != 0 ? repeatability::at_most_once : repeatability::idempotent;
+    terms.is_nested = *nested != 0;
+    terms.useful = std::chrono::milliseconds(*useful);
+    terms.route = std::string((*parts)[4]);
+    return terms;
+}
+
+std::string encode_load(const load_report& load) {
+    return fmt::format("{} {} {}", load.in_flight, load.queued, load.limit);
+}
+
+std::optional<load_report> decode_load(std::string_view text) {
+    const auto parts = split<3>(text, ' ');
+    if (!parts) {
+        return std::nullopt;
+    }
+    const auto in_flight = number((*parts)[0]);
+    const auto queued = number((*parts)[1]);
+    const auto limit = number((*parts)[2]);
+    if (!in_flight || !queued || !limit) {
+        return std::nullopt;
+    }
+    return load_report{*in_flight, *queued, *limit};
+}
+
+std::string encode_verdict(const peer_verdict& verdict) {
+    return std::visit(
+        overloaded{[](const attempt_refusal& refused) {
+                       return fmt::format("{} {} {} {}", not_run, name_of(refused.reason),
+                                          refused.reached_target ? 1 : 0,
+                                          whole_ms(refused.retry_after));
+                   },
+                   [](const attempt_failure& failed) {
+                       return fmt::format("{} {} 0 0", unknown, name_of(failed.problem));
+                   }},
+        verdict);
+}
+
+std::optional<peer_verdict> decode_verdict(std::string_view text) {
+    const auto parts = split<4>(text, ' ');
+    if (!parts) {
+        return std::nullopt;
+    }
+    const auto name = (*parts)[1];
+    if ((*parts)[0] == unknown) {
+        return attempt_failure{name == name_of(attempt_problem::bad_answer)
+                                   ? attempt_problem::bad_answer
+                                   : attempt_problem::connection_lost};
+    }
+    const auto reason = refusal_named(name);
+    const auto reached = number((*parts)[2]);
+    const auto retry_after = number((*parts)[3]);
+    if ((*parts)[0] != not_run || !reason || !reached || !retry_after) {
+        return std::nullopt;
+    }
+    attempt_refusal refused;
+    refused.reason = *reason;
+    refused.reached_target = *reached != 0;
+    refused.retry_after = std::chrono::milliseconds(*retry_after);
+    return refused;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/proxy_node.cpp
@@ -0,0 +1,342 @@
+#include <trefoil/proxy/proxy_node.hpp>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/hash.hpp>
+#include <trefoil/http1/server.hpp>
+
+#include "inbound_call.hpp"
+#include "outbound_call.hpp"
+#include "own_answer.hpp"
+#include "proxy_state.hpp"
+#include "registry_view.hpp"
+
+namespace trefoil {
+namespace {
+
+/// Time between two runs of the housekeeping.
+constexpr std::uint64_t housekeeping_ms = 250;
+/// Housekeeping runs between two looks at the settings and at idle connections.
+constexpr std::uint64_t slow_housekeeping_runs = 4;
+/// A stopping node serves callers for so long at least, since they learn of it by its readiness.
+constexpr duration least_stop_time = 2500ms;
+/// A stopping node takes requests for so long; later ones might not end before it does.
+constexpr duration last_request_time = 3200ms;
+/// A stopping node ends when no request has arrived for so long.
+constexpr duration quiet_time = 400ms;
+/// A stopping node ends so long before it would be ended by force.
+constexpr duration stop_margin = 300ms;
+/// A gap between two runs of the housekeeping that is worth a record.
+constexpr duration long_gap = 1500ms;
+/// Requests between nodes come on connections that their senders close first.
+constexpr std::chrono::milliseconds peer_idle_timeout{60'000};
+constexpr std::uint64_t peer_max_body_bytes = 1ULL << 40U;
+constexpr std::size_t peer_max_head_bytes = 131072;
+
+std::chrono::milliseconds whole_ms(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+}
+
+http1::server_limits limits_of(const sender_limits& limits) {
+    http1::server_limits made;
+    made.max_head_bytes = limits.max_header_bytes;
+    made.max_body_bytes = limits.max_body_bytes;
+    made.head_timeout = whole_ms(limits.header_timeout);
+    made.idle_timeout = whole_ms(limits.idle_timeout);
+    return made;
+}
+
+http1::server_limits peer_limits() {
+    http1::server_limits made;
+    made.max_head_bytes = peer_max_head_bytes;
+    made.max_body_bytes = peer_max_body_bytes;
+    made.idle_timeout = peer_idle_timeout;
+    return made;
+}
+
+std::uint64_t seed_of(const proxy_settings& settings) {
+    const auto time = std::chrono::steady_clock::now().time_since_epoch().count();
+    return mix_hash(stable_hash(settings.name), static_cast<std::uint64_t>(time));
+}
+
+} // namespace
+
+class proxy_node::impl {
+public:
+    impl(uv_loop_t* loop, proxy_settings settings, proxy_sources sources)
+        : seed_(seed_of(settings)), state_(loop, std::move(settings), seed_),
+          sources_(std::move(sources)),
+          config_(state_, *sources_.registry, registry_topic::config, seed_ + 2),
+          instances_(state_, *sources_.registry, registry_topic::instances, seed_ + 3) {
+        uv_timer_init(loop, &housekeeping_);
+        housekeeping_.data = this;
+    }
+
+    absl::Status open() {
+        const auto& settings = state_.settings;
+        const std::array<std::pair<std::unique_ptr<http1::server>*, listener>, 4> listeners = {{
+            {&callers_,
+             {settings.caller_listener, limits_of({}),
+              [this](auto request) { serve_caller(std::move(request)); }}},
+            {&peers_,
+             {settings.peer_listener, peer_limits(),
+              [this](auto request) { inbound_call::serve(state_, std::move(request)); }}},
+            {&ready_,
+             {settings.ready_listener, peer_limits(),
+              [this](auto request) { answer_ready(*request); }}},
+            {&metrics_,
+             {settings.metrics_listener, peer_limits(),
+              [this](auto request) { answer_metrics(*request); }}},
+        }};
+        for (const auto& [slot, wanted] : listeners) {
+            auto opened = http1::server::listen(state_.loop, wanted.where, wanted.limits,
+                                                wanted.on_request);
+            if (!opened.ok()) {
+                return opened.status();
+            }
+            *slot = std::move(*opened);
+        }
+        watch_signal(SIGTERM, [](uv_signal_t* handle, int) { self(handle).stop(); });
+        watch_signal(SIGINT, [](uv_signal_t* handle, int) { self(handle).stop(); });
+        watch_signal(SIGHUP, [](uv_signal_t* handle, int) { self(handle).reload(); });
+        uv_timer_start(
+            &housekeeping_,
+            [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->keep_house(); },
+            housekeeping_ms, housekeeping_ms);
+        config_.start();
+        instances_.start();
+        note_start();
+        return absl::OkStatus();
+    }
+
+    int run() {
+        uv_run(state_.loop, UV_RUN_DEFAULT);
+        return 0;
+    }
+
+private:
+    struct listener {
+        endpoint where;
+        http1::server_limits limits;
+        http1::server::request_handler on_request;
+    };
+
+    static impl& self(uv_signal_t* handle) { return *static_cast<impl*>(handle->data); }
+
+    void watch_signal(int number, uv_signal_cb callback) {
+        auto& handle = signals_.at(signal_count_++);
+        uv_signal_init(state_.loop, &handle);
+        handle.data = this;
+        uv_signal_start(&handle, callback, number);
+    }
+
+    void serve_caller(std::shared_ptr<http1::served_request> request) {
+        const bool is_too_late =
+            state_.is_stopping && state_.now() - stop_began_ > last_request_time;
+        if (is_too_late) {
+            request->respond(refusal_answer(retry_time(duration{0}, 0, state_.random)), {});
+            state_.metrics.refused_here(refusal::leaving);
+            return;
+        }
+        outbound_call::serve(state_, std::move(request));
+    }
+
+    bool is_ready() const {
+        return !state_.is_stopping && state_.routes != nullptr && instances_.has_read();
+    }
+
+    void answer_ready(http1::served_request& request) {
+        request.respond(own_answer(is_ready() ? 200 : 503), {});
+    }
+
+    void answer_metrics(http1::served_request& request) {
+        request.respond(own_answer(200), metrics_text());
+    }
+
+    std::string metrics_text() const {
+        const auto load = state_.gate.load();
+        const auto& target = state_.gate.counts();
+        const auto& peers = state_.peers.counts();
+        return state_.metrics.text() +
+               fmt::format("# TYPE trefoil_target_in_flight gauge\n"
+                           "trefoil_target_in_flight {}\n"
+                           "# TYPE trefoil_target_queued gauge\n"
+                           "trefoil_target_queued {}\n"
+                           "# TYPE trefoil_target_limit gauge\n"
+                           "trefoil_target_limit {}\n"
+                           "# TYPE trefoil_target_connections_total counter\n"
+                           "trefoil_target_connections_total {}\n"
+                           "# TYPE trefoil_peer_connections_total counter\n"
+                           "trefoil_peer_connections_total {}\n"
+                           "# TYPE trefoil_config_version gauge\n"
+                           "trefoil_config_version {}\n"
+                           "# TYPE trefoil_instances gauge\n"
+                           "trefoil_instances {}\n",
+                           load.in_flight, load.queued, load.limit, target.connections_opened,
+                           peers.connections_opened,
+                           state_.routes == nullptr ? 0 : state_.routes->config().version,
+                           state_.directory.size());
+    }
+
+    void keep_house() {
+        const auto now = state_.now();
+        if (last_run_ != time_point{} && now - last_run_ > long_gap) {
+            state_.note(log_class::state, [&] {
+                return log_record{log_event::clock_gap,
+                                  {{"ms", std::to_string(whole_ms(now - last_run_).count())}}};
+            });
+        }
+        last_run_ = now;
+        callers_->sweep();
+        for (const auto& id : state_.directory.expire(now)) {
+            state_.note(log_class::state, [&] {
+                return log_record{log_event::instance_dropped,
+                                  {{"instance", id.str()}, {"cause", "stayed_missing"}}};
+            });
+        }
+        if (++runs_ % slow_housekeeping_runs == 0) {
+            peers_->sweep();
+            ready_->sweep();
+            metrics_->sweep();
+            state_.peers.sweep();
+            state_.gate.sweep();
+            reload();
+        }
+        apply_limits();
+        finish_stop(now);
+        state_.log.flush(now);
+    }
+
+    void apply_limits() {
+        if (state_.routes == nullptr || state_.routes->config().version == limits_version_) {
+            return;
+        }
+        limits_version_ = state_.routes->config().version;
+        callers_->set_limits(limits_of(state_.routes->config().limits));
+    }
+
+    void reload() {
+        const auto read = sources_.reload();
+        if (!read.ok()) {
+            if (!is_reload_refused_) {
+                is_reload_refused_ = true;
+                state_.note(log_class::state, [&] {
+                    return log_record{log_event::setting_invalid,
+                                      {{"problem", std::string(read.status().message())}}};
+                });
+            }
+            return;
+        }
+        is_reload_refused_ = false;
+        if (*read == state_.settings) {
+            return;
+        }
+        const bool needs_restart = read->caller_listener != state_.settings.caller_listener ||
+                                   read->peer_listener != state_.settings.peer_listener ||
+                                   read->target != state_.settings.target ||
+                                   read->domain != state_.settings.domain;
+        state_.settings.service = read->service;
+        state_.settings.stop_time = read->stop_time;
+        if (read->repeats != state_.settings.repeats) {
+            state_.settings.repeats = read->repeats;
+            state_.repeats = repeat_allowance(read->repeats);
+            state_.repeats.set_nodes(state_.directory.size());
+        }
+        if (*read == state_.settings || is_restart_noted_) {
+            return;
+        }
+        is_restart_noted_ = needs_restart;
+        state_.note(log_class::state, [&] {
+            return log_record{log_event::settings_reloaded,
+                              {{"service", state_.settings.service.str()},
+                               {"needs_restart", needs_restart ? "1" : "0"}}};
+        });
+    }
+
+    void stop() {
+        if (state_.is_stopping) {
+            state_.note(log_class::state,
+                        [] { return log_record{log_event::second_stop_signal, {}}; });
+            return;
+        }
+        state_.is_stopping = true;
+        stop_began_ = state_.now();
+        callers_->close_connections_after_answers();
+        peers_->close_connections_after_answers();
+        state_.note(log_class::state, [&] {
+            return log_record{log_event::node_stopping,
+                              {{"calls", std::to_string(callers_->pending())},
+                               {"runs", std::to_string(peers_->pending())}}};
+        });
+        state_.log.flush(state_.now());
+    }
+
+    void finish_stop(time_point now) {
+        if (!state_.is_stopping) {
+            return;
+        }
+        const auto pending = callers_->pending() + peers_->pending();
+        const bool is_idle = pending == 0 && now - stop_began_ >= least_stop_time &&
+                             now - state_.last_request >= quiet_time;
+        const bool is_late = now - stop_began_ >= state_.settings.stop_time - stop_margin;
+        if (!is_idle && !is_late) {
+            return;
+        }
+        if (pending > 0) {
+            state_.log.add({log_event::drain_limit_reached, {{"calls", std::to_string(pending)}}});
+        }
+        state_.log.add({log_event::node_stopped, {{"calls", std::to_string(pending)}}});
+        state_.log.flush(now);
+        uv_stop(state_.loop);
+    }
+
+    void note_start() {
+        const auto& settings = state_.settings;
+        state_.log.add({log_event::node_started,
+                        {{"name", settings.name},
+                         {"service", settings.service.str()},
+                         {"domain", settings.domain.str()},
+                         {"callers", to_string(settings.caller_listener)},
+                         {"target", to_string(settings.target)}}});
+        state_.log.flush(state_.now());
+    }
+
+    std::uint64_t seed_;
+    proxy_state state_;
+    proxy_sources sources_;
+    registry_view config_;
+    registry_view instances_;
+    std::unique_ptr<http1::server> callers_;
+    std::unique_ptr<http1::server> peers_;
+    std::unique_ptr<http1::server> ready_;
+    std::unique_ptr<http1::server> metrics_;
+    uv_timer_t housekeeping_{};
+    std::array<uv_signal_t, 3> signals_{};
+    std::size_t signal_count_ = 0;
+    std::uint64_t runs_ = 0;
+    std::uint64_t limits_version_ = 0;
+    time_point last_run_;
+    time_point stop_began_;
+    bool is_reload_refused_ = false;
+    bool is_restart_noted_ = false;
+};
+
+proxy_node::proxy_node(uv_loop_s* loop, proxy_settings settings, proxy_sources sources)
+    : impl_(std::make_unique<impl>(loop, std::move(settings), std::move(sources))) {}
+
+proxy_node::~proxy_node() = default;
+
+absl::Status proxy_node::open() {
+    return impl_->open();
+}
+
+int proxy_node::run() {
+    return impl_->run();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/registry_follower.cpp
@@ -0,0 +1,53 @@
+#include <trefoil/proxy/registry_follower.hpp>
+
+#include <algorithm>
+
+namespace trefoil {
+
+std::string_view name_of(registry_problem problem) {
+    switch (problem) {
+    case registry_problem::unreachable:
+        return "unreachable";
+    case registry_problem::refused:
+        return "refused";
+    case registry_problem::history_gone:
+        return "history_gone";
+    case registry_problem::bad_answer:
+        return "bad_answer";
+    }
+    return "unknown";
+}
+
+follow_step registry_follower::next() {
+    if (failures_ > 0 && !has_paused_) {
+        has_paused_ = true;
+        constexpr std::uint32_t max_doublings = 3;
+        const auto full = std::min<duration>(
+            first_pause * (1U << std::min(failures_ - 1, max_doublings)), longest_pause);
+        const auto half = full / 2;
+        return pause_topic{half + duration(static_cast<duration::rep>(
+                                      random_.below(static_cast<std::uint64_t>(half.count()))))};
+    }
+    if (!revision_) {
+        return read_topic{};
+    }
+    return watch_topic{*revision_, watch_wait};
+}
+
+void registry_follower::succeeded(std::uint64_t revision, bool has_changes) {
+    failures_ = 0;
+    has_paused_ = false;
+    if (!revision_ || has_changes) {
+        revision_ = std::max(revision_.value_or(0), revision);
+    }
+}
+
+void registry_follower::failed(registry_problem why) {
+    revision_.reset();
+    has_paused_ = false;
+    if (why != registry_problem::history_gone) {
+        ++failures_;
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/registry_view.cpp
@@ -0,0 +1,217 @@
+#include "registry_view.hpp"
+
+#include <uv.h>
+
+#include <trefoil/base/overloaded.hpp>
+
+namespace trefoil {
+namespace {
+
+std::string_view name_of(registry_topic topic) {
+    return topic == registry_topic::config ? "config" : "instances";
+}
+
+log_event event_for(directory_change change) {
+    switch (change) {
+    case directory_change::draining:
+        return log_event::instance_leaving;
+    case directory_change::removed:
+        return log_event::instance_dropped;
+    case directory_change::held:
+        return log_event::instance_held;
+    case directory_change::outdated:
+        return log_event::document_stale_ignored;
+    default:
+        return log_event::instance_listed;
+    }
+}
+
+} // namespace
+
+registry_view::registry_view(proxy_state& state, registry_client& client, registry_topic topic,
+                             std::uint64_t seed)
+    : state_(state), client_(client), topic_(topic), follower_(seed), timer_(new uv_timer_t) {
+    uv_timer_init(state.loop, timer_);
+    timer_->data = this;
+}
+
+registry_view::~registry_view() {
+    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
+}
+
+void registry_view::step() {
+    std::visit(overloaded{[&](const read_topic&) {
+                              client_.read(topic_, [this](registry_result result) {
+                                  finish(std::move(result), true);
+                              });
+                          },
+                          [&](const watch_topic& watch) {
+                              client_.watch(topic_, watch.after, watch.wait,
+                                            [this](registry_result result) {
+                                                finish(std::move(result), false);
+                                            });
+                          },
+                          [&](const pause_topic& rest) { pause(rest.time); }},
+               follower_.next());
+}
+
+void registry_view::pause(duration time) {
+    uv_timer_start(
+        timer_, [](uv_timer_t* timer) { static_cast<registry_view*>(timer->data)->step(); },
+        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(time).count()), 0);
+}
+
+void registry_view::finish(registry_result result, bool is_full_read) {
+    std::visit(overloaded{[&](registry_changes& changes) {
+                              const auto revision = changes.revision;
+                              const bool has_changes = !changes.changes.empty();
+                              note_success();
+                              apply(std::move(changes), is_full_read);
+                              follower_.succeeded(revision, has_changes);
+                          },
+                          [&](registry_problem why) {
+                              note_failure(why);
+                              follower_.failed(why);
+                          }},
+               result);
+    step();
+}
+
+void registry_view::apply(registry_changes changes, bool is_full_read) {
+    full_list_.clear();
+    for (auto& change : changes.changes) {
+        if (is_full_read && std::holds_alternative<listed_instance>(change)) {
+            full_list_.push_back(std::move(std::get<listed_instance>(change)));
+        } else {
+            apply_change(std::move(change));
+        }
+    }
+    if (is_full_read) {
+        has_read_ = true;
+    }
+    if (topic_ != registry_topic::instances) {
+        return;
+    }
+    if (is_full_read) {
+        for (const auto& [id, change] : state_.directory.replace(state_.now(), full_list_)) {
+            note_directory(id, change);
+        }
+    }
+    state_.repeats.set_nodes(state_.directory.size());
+    own_entry_changed();
+}
+
+void registry_view::apply_change(registry_change change) {
+    std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
+                          [&](listed_instance& listed) {
+                              const auto id = listed.id;
+                              note_directory(id, state_.directory.put(state_.now(), listed));
+                          },
+                          [&](const instance_removed& removed) {
+                              note_directory(removed.id,
+                                             state_.directory.remove(state_.now(), removed.id));
+                          },
+                          [&](const unreadable_item& item) {
+                              state_.note(log_class::state, [&] {
+                                  return log_record{log_event::item_unreadable,
+                                                    {{"key", item.key}, {"problem", item.problem}}};
+                              });
+                              if (!item.id.empty()) {
+                                  state_.directory.remove(state_.now(), item.id);
+                              }
+                          }},
+               change);
+}
+
+void registry_view::apply_config(traffic_config config) {
+    const auto version = config.version;
+    const auto present = state_.routes == nullptr ? 0 : state_.routes->config().version;
+    const bool is_newer = state_.routes == nullptr || version > present;
+    if (is_newer) {
+        state_.routes = std::make_shared<const route_table>(std::move(config));
+    }
+    state_.note(log_class::state, [&] {
+        return log_record{is_newer ? log_event::config_in_force : log_event::config_ignored,
+                          {{"version", std::to_string(version)},
+                           {"before", std::to_string(present)},
+                           {"routes", std::to_string(state_.routes->config().routes.size())}}};
+    });
+}
+
+void registry_view::note_directory(const instance_id& id, directory_change change) {
+    if (change == directory_change::none) {
+        return;
+    }
+    const auto* listed = state_.directory.find(id);
+    state_.note(log_class::state, [&] {
+        log_record record{event_for(change), {{"instance", id.str()}}};
+        if (listed != nullptr) {
+            record.fields.emplace_back("service", listed->service.str());
+            record.fields.emplace_back("domain", listed->domain.str());
+            record.fields.emplace_back("target", to_string(listed->target));
+            record.fields.emplace_back("slots", std::to_string(listed->slots));
+        }
+        return record;
+    });
+}
+
+void registry_view::own_entry_changed() {
+    const auto* own = state_.directory.at_address(state_.settings.target);
+    if (own == nullptr) {
+        return;
+    }
+    state_.gate.set_slots(own->slots);
+    if (own->started_at_ms == own_started_at_ms_) {
+        return;
+    }
+    const bool is_restart = own_started_at_ms_ != 0;
+    own_started_at_ms_ = own->started_at_ms;
+    if (is_restart) {
+        state_.gate.set_cold();
+    }
+    state_.note(log_class::state, [&] {
+        return log_record{log_event::own_target_changed,
+                          {{"instance", own->id.str()},
+                           {"slots", std::to_string(own->slots)},
+                           {"restart", is_restart ? "1" : "0"}}};
+    });
+}
+
+void registry_view::note_failure(registry_problem why) {
+    if (why == registry_problem::history_gone) {
+        state_.note(log_class::state, [&] {
+            return log_record{log_event::registry_read_again,
+                              {{"topic", std::string(name_of(topic_))}}};
+        });
+        return;
+    }
+    if (topic_ == registry_topic::instances) {
+        state_.directory.source_lost(state_.now());
+    }
+    if (is_reported_lost_) {
+        return;
+    }
+    is_reported_lost_ = true;
+    state_.note(log_class::state, [&] {
+        return log_record{log_event::platform_unreachable,
+                          {{"topic", std::string(name_of(topic_))},
+                           {"cause", std::string(trefoil::name_of(why))}}};
+    });
+}
+
+void registry_view::note_success() {
+    if (topic_ == registry_topic::instances) {
+        state_.directory.source_regained(state_.now());
+    }
+    if (!is_reported_lost_) {
+        return;
+    }
+    is_reported_lost_ = false;
+    state_.note(log_class::state, [&] {
+        return log_record{log_event::platform_reachable,
+                          {{"topic", std::string(name_of(topic_))}}};
+    });
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/registry_view.hpp
@@ -0,0 +1,55 @@
+// Keeps a proxy's beliefs in step with the registry.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <trefoil/proxy/registry.hpp>
+#include <trefoil/proxy/registry_follower.hpp>
+
+#include "proxy_state.hpp"
+
+struct uv_timer_s;
+
+namespace trefoil {
+
+/// Carries out a follower's steps for one topic and applies what they bring.
+class registry_view {
+public:
+    registry_view(proxy_state& state, registry_client& client, registry_topic topic,
+                  std::uint64_t seed);
+    ~registry_view();
+    registry_view(const registry_view&) = delete;
+    registry_view& operator=(const registry_view&) = delete;
+
+    /// Begins to follow.
+    void start() { step(); }
+
+    /// True once everything was read.
+    bool has_read() const { return has_read_; }
+
+private:
+    void step();
+    void pause(duration time);
+    void finish(registry_result result, bool is_full_read);
+    void apply(registry_changes changes, bool is_full_read);
+    void apply_change(registry_change change);
+    void apply_config(traffic_config config);
+    void note_directory(const instance_id& id, directory_change change);
+    void own_entry_changed();
+    void note_failure(registry_problem why);
+    void note_success();
+
+    proxy_state& state_;
+    registry_client& client_;
+    registry_topic topic_;
+    registry_follower follower_;
+    std::vector<listed_instance> full_list_;
+    bool has_read_ = false;
+    bool is_reported_lost_ = false;
+    std::int64_t own_started_at_ms_ = 0;
+    uv_timer_s* timer_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/reply_relay.cpp
@@ -0,0 +1,42 @@
+#include "reply_relay.hpp"
+
+#include <trefoil/http1/header_rules.hpp>
+
+namespace trefoil {
+
+void reply_relay::begin(attempt_reply reply, const std::vector<http_header>& extra) {
+    auto& head = reply.head;
+    head.headers = end_to_end(head.headers);
+    head.headers.insert(head.headers.end(), extra.begin(), extra.end());
+    if (reply.is_complete) {
+        client_->respond(std::move(head), reply.body);
+        return;
+    }
+    client_->begin(std::move(head));
+    client_->write(reply.body);
+}
+
+void reply_relay::pass(std::string_view bytes, attempt& from) {
+    client_->write(bytes);
+    if (client_->unsent() > max_unsent_bytes && !is_paused_) {
+        is_paused_ = true;
+        from.pause();
+    }
+}
+
+void reply_relay::finish() {
+    client_->finish();
+}
+
+void reply_relay::abort() {
+    client_->abort();
+}
+
+void reply_relay::resume(attempt& from) {
+    if (is_paused_ && client_->unsent() == 0) {
+        is_paused_ = false;
+        from.resume();
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/proxy/src/target_gate.hpp
@@ -0,0 +1,77 @@
+// The one way to the target on this machine.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+#include <trefoil/admission/admission.hpp>
+#include <trefoil/base/endpoint.hpp>
+#include <trefoil/http1/client.hpp>
+#include <trefoil/proxy/call_fields.hpp>
+
+#include "attempt.hpp"
+#include "peer_message.hpp"
+
+struct uv_loop_s;
+struct uv_timer_s;
+
+namespace trefoil {
+
+/// A request for the target on this machine.
+struct gate_request {
+    http1::request_head head;
+    std::string body;
+    bool is_body_complete = true;
+    run_terms terms;
+    std::string request_id;
+};
+
+/// Queues requests by admission's decisions and runs them over connections that it keeps.
+class target_gate {
+public:
+    target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields);
+    ~target_gate();
+    target_gate(const target_gate&) = delete;
+    target_gate& operator=(const target_gate&) = delete;
+
+    /// Asks for a run. A refusal is returned at once; otherwise the attempt waits or runs.
+    std::variant<std::unique_ptr<attempt>, attempt_refusal> submit(gate_request request,
+                                                                   attempt_handler on_event);
+
+    /// What the target declares of itself.
+    void set_slots(std::uint32_t slots);
+    /// The target's process is new and slow at first.
+    void set_cold();
+
+    load_report load() const;
+    const http1::client_counts& counts() const { return client_.counts(); }
+
+    /// Closes old idle connections. Called about once a second.
+    void sweep();
+
+private:
+    class run;
+
+    time_point now() const;
+    /// Carries out admission's decisions. A refusal of the call that is being submitted is returned.
+    refusal advance(call_id submitted = {});
+    /// The owner of a waiting or running request has gone.
+    void give_up(call_id call, time_point since);
+    void arm_timer();
+    attempt_refusal refused(refusal reason, std::uint32_t position) const;
+
+    uv_loop_s* loop_;
+    endpoint target_;
+    const call_fields& fields_;
+    http1::client client_;
+    admission admission_;
+    std::unordered_map<call_id, run*> runs_;
+    std::uint64_t next_call_ = 1;
+    uv_timer_s* timer_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/traffic/include/trefoil/traffic/traffic_config.hpp
@@ -0,0 +1,75 @@
+// The operators' configuration of routes, services and limits, whatever source it comes from.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <trefoil/base/ids.hpp>
+#include <trefoil/base/time.hpp>
+
+namespace trefoil {
+
+/// Whether a request may run more than once.
+enum class repeatability : std::uint8_t { idempotent, at_most_once };
+
+/// A service that gets a share of a route's requests.
+struct weighted_service {
+    service_name service;
+    std::uint32_t weight = 1;
+
+    friend bool operator==(const weighted_service&, const weighted_service&) = default;
+};
+
+/// Where the requests of one host below one path go, and how they are treated.
+struct route {
+    std::string name;
+    /// Host in lower case, without a port.
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string path_prefix;
+    repeatability repeats = repeatability::at_most_once;
+    /// At least one.
+    std::vector<weighted_service> services;
+    /// The longest time that a request is kept waiting for its answer.
+    duration timeout{0};
+    /// Instances that one request may be sent to at most.
+    std::uint32_t max_attempts = 1;
+    /// 0 is the most important.
+    std::uint32_t priority = 0;
+    /// An answer within this time is worth more than a later one.
+    duration target_latency{0};
+
+    friend bool operator==(const route&, const route&) = default;
+};
+
+/// What holds for the instances of a service.
+struct service_limits {
+    service_name service;
+    /// Connections that one instance accepts from all callers.
+    std::uint32_t max_connections = 0;
+
+    friend bool operator==(const service_limits&, const service_limits&) = default;
+};
+
+/// Bounds of what a client may send and how long it may take.
+struct sender_limits {
+    std::uint64_t max_header_bytes = 16384;
+    std::uint64_t max_body_bytes = 64U << 20U;
+    duration header_timeout = 3s;
+    duration idle_timeout = 15s;
+
+    friend bool operator==(const sender_limits&, const sender_limits&) = default;
+};
+
+/// One version of the configuration. Versions compare as numbers.
+struct traffic_config {
+    std::uint64_t version = 0;
+    sender_limits limits;
+    std::vector<route> routes;
+    std::vector<service_limits> services;
+
+    friend bool operator==(const traffic_config&, const traffic_config&) = default;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/traffic/src/instance_directory.cpp
@@ -0,0 +1,167 @@
+#include <trefoil/traffic/instance_directory.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace trefoil {
+
+std::vector<std::pair<instance_id, directory_change>>
+instance_directory::replace(time_point now, std::vector<listed_instance> all) {
+    std::vector<std::pair<instance_id, directory_change>> changes;
+    std::set<instance_id> present;
+    for (auto& listed : all) {
+        present.insert(listed.id);
+        const auto id = listed.id;
+        const auto change = put(now, std::move(listed));
+        if (change != directory_change::none) {
+            changes.emplace_back(id, change);
+        }
+    }
+    std::vector<instance_id> missing;
+    for (const auto& [id, held] : entries_) {
+        if (!present.contains(id) && !held.missing_since) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        changes.emplace_back(id, remove(now, id));
+    }
+    return changes;
+}
+
+bool instance_directory::is_outdated(const listed_instance& listed) const {
+    std::int64_t started_at_ms = 0;
+    std::uint64_t sequence = 0;
+    const auto present = entries_.find(listed.id);
+    const auto past = last_words_.find(listed.id);
+    if (present != entries_.end()) {
+        started_at_ms = present->second.listed.started_at_ms;
+        sequence = present->second.listed.sequence;
+    } else if (past != last_words_.end()) {
+        started_at_ms = past->second.started_at_ms;
+        sequence = past->second.sequence;
+    }
+    return std::pair(listed.started_at_ms, listed.sequence) < std::pair(started_at_ms, sequence);
+}
+
+void instance_directory::erase(time_point now, const instance_id& id) {
+    const auto found = entries_.find(id);
+    last_words_[id] = {found->second.listed.started_at_ms, found->second.listed.sequence, now};
+    entries_.erase(found);
+    std::erase_if(last_words_, [&](const auto& item) {
+        return now - item.second.removed_at > last_word_lifetime;
+    });
+}
+
+directory_change instance_directory::put(time_point, listed_instance listed) {
+    if (is_outdated(listed)) {
+        return directory_change::outdated;
+    }
+    auto& held = entries_[listed.id];
+    const bool is_new = held.listed.id.empty();
+    const bool is_known = !is_new && !held.missing_since;
+    listed_instance without_count = listed;
+    without_count.sequence = held.listed.sequence;
+    if (is_known && without_count == held.listed) {
+        held.listed.sequence = listed.sequence;
+        return directory_change::none;
+    }
+    const bool starts_draining = listed.state == listed_state::draining &&
+                                 (is_new || held.listed.state != listed_state::draining);
+    held = entry{std::move(listed), std::nullopt};
+    rebuild();
+    if (starts_draining) {
+        return directory_change::draining;
+    }
+    return is_new ? directory_change::added : directory_change::updated;
+}
+
+directory_change instance_directory::remove(time_point now, const instance_id& id) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return directory_change::none;
+    }
+    const bool is_leaving = found->second.listed.state == listed_state::draining;
+    if (may_have_lapsed(now) && !is_leaving) {
+        if (!found->second.missing_since) {
+            found->second.missing_since = now;
+        }
+        return directory_change::held;
+    }
+    erase(now, id);
+    rebuild();
+    return directory_change::removed;
+}
+
+void instance_directory::source_lost(time_point) {
+    is_source_lost_ = true;
+}
+
+void instance_directory::source_regained(time_point now) {
+    if (is_source_lost_) {
+        is_source_lost_ = false;
+        regained_at_ = now;
+    }
+}
+
+bool instance_directory::may_have_lapsed(time_point now) const {
+    return is_source_lost_ || (regained_at_ && now - *regained_at_ < lapse_grace);
+}
+
+std::vector<instance_id> instance_directory::expire(time_point now) {
+    std::vector<instance_id> gone;
+    if (may_have_lapsed(now)) {
+        return gone;
+    }
+    for (const auto& [id, held] : entries_) {
+        if (held.missing_since) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        erase(now, id);
+    }
+    if (!gone.empty()) {
+        rebuild();
+    }
+    return gone;
+}
+
+const std::vector<listed_instance>& instance_directory::usable(const service_name& service) const {
+    static const std::vector<listed_instance> none;
+    const auto found = usable_.find(service);
+    return found == usable_.end() ? none : found->second;
+}
+
+const listed_instance* instance_directory::find(const instance_id& id) const {
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second.listed;
+}
+
+const listed_instance* instance_directory::at_address(const endpoint& target) const {
+    const listed_instance* best = nullptr;
+    for (const auto& [id, held] : entries_) {
+        if (held.listed.target == target &&
+            (best == nullptr || held.listed.started_at_ms > best->started_at_ms)) {
+            best = &held.listed;
+        }
+    }
+    return best;
+}
+
+std::size_t instance_directory::count(const service_name& service) const {
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [&](const auto& item) { return item.second.listed.service == service; }));
+}
+
+void instance_directory::rebuild() {
+    usable_.clear();
+    for (const auto& [id, held] : entries_) {
+        if (held.listed.state == listed_state::ready) {
+            usable_[held.listed.service].push_back(held.listed);
+        }
+    }
+}
+
+} // namespace trefoil
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -1,7 +1,7 @@
 #include <cstdint>
 #include <cstdlib>
 
-#include <trefoil/platform/platform_client.hpp>
+#include <trefoil/config_service/config_client.hpp>
 
 using namespace trefoil;
 
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -22,7 +22,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <trefoil/http/header_rules.hpp>
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/membership/member_list.hpp>
 
--- /dev/null
+++ b/tools/trefoil-proxy/main.cpp
@@ -0,0 +1,71 @@
+// The process beside a target on the users' platform.
+#include <csignal>
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <trefoil/base/log.hpp>
+#include <trefoil/platform/settings_file.hpp>
+#include <trefoil/platform/store_client.hpp>
+#include <trefoil/proxy/proxy_node.hpp>
+#include <trefoil/settings/tool_main.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+struct tool_settings {
+    std::string path;
+    bool check_only = false;
+};
+
+absl::StatusOr<proxy_settings> reload(const std::string& path) {
+    const auto read = platform::read_settings(path);
+    if (!read.ok()) {
+        return read.status();
+    }
+    return read->proxy;
+}
+
+int run(const tool_settings& settings) {
+    const char* named = std::getenv(platform::settings_variable);
+    const std::string path = settings.path.empty() && named != nullptr ? named : settings.path;
+    const auto read = platform::read_settings(path);
+    if (!read.ok()) {
+        write_log({log_event::setting_invalid, {{"problem", std::string(read.status().message())}}});
+        return exit_bad_settings;
+    }
+    if (settings.check_only) {
+        fmt::print("settings are good\n");
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    auto* loop = uv_default_loop();
+    proxy_sources sources;
+    sources.registry = platform::make_store_client(loop, read->store);
+    sources.reload = [path] { return reload(path); };
+    proxy_node node(loop, read->proxy, std::move(sources));
+    const auto opened = node.open();
+    if (!opened.ok()) {
+        write_log({log_event::listener_failed, {{"problem", std::string(opened.message())}}});
+        return 1;
+    }
+    const int code = node.run();
+    // Handles that are still closing hold memory that ends with the process.
+    std::_Exit(code);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    tool_settings settings;
+    option_set options("trefoil-proxy", "overload control beside one target on a platform");
+    options.add_text("settings-file", &settings.path,
+                     fmt::format("the platform's settings file; by default the path in {}",
+                                 platform::settings_variable),
+                     false);
+    options.add_switch("check-settings", &settings.check_only,
+                       "check the settings file, say what is wrong and end");
+    return tool_main(options, argc, argv, [&](const run_program&) { return run(settings); });
+}
