Admit whole requests: shares by root id, levels by what is refused below

Change: queue order by the whole request's priority and share; a level for each kind of run that falls when its calls find no room below; no repeat of a failure that comes from a call below; repeats inside repeats count in the allowance; a target's refusals below its slots no longer lower its limit.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -27,8 +27,7 @@
     bad_answer,
 };
 
-using exchange_event =
-    std::variant<response_head, body_piece, message_end, exchange_failure>;
+using exchange_event = std::variant<response_head, body_piece, message_end, exchange_failure>;
 
 /// How an exchange is carried out.
 struct exchange_options {
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -59,7 +59,6 @@
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
 using response_event = std::variant<response_head, body_piece, message_end, parse_failure>;
 
-
 /// The bytes of a request's head. `connection` headers and framing are written from the other
 /// members; hop-by-hop headers among `headers` must have been removed.
 std::string to_bytes(const request_head& head);
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -65,7 +65,8 @@
 /// One connection; busy while it has an exchange.
 class client::impl::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(std::weak_ptr<impl> pool, endpoint to) : pool_(std::move(pool)), to_(std::move(to)) {}
+    connection(std::weak_ptr<impl> pool, endpoint to)
+        : pool_(std::move(pool)), to_(std::move(to)) {}
 
     void open(uv_loop_t* loop) {
         stream_ = tcp_stream::connect(loop, to_,
@@ -82,7 +83,8 @@
     running* user_ = nullptr;
     std::unique_ptr<tcp_stream> stream_;
 
-    void begin(running* user, bool has_no_body, std::function<bool(const response_head&)> expected) {
+    void begin(running* user, bool has_no_body,
+               std::function<bool(const response_head&)> expected) {
         user_ = user;
         is_expected_ = std::move(expected);
         answer_done_ = false;
@@ -328,8 +330,7 @@
     }
     answer_done_ = true;
     auto* user = user_;
-    is_reusable_ =
-        is_reusable_ && end.keeps_connection && !has_surplus && user->is_body_done();
+    is_reusable_ = is_reusable_ && end.keeps_connection && !has_surplus && user->is_body_done();
     user_ = nullptr;
     const auto self = user->release();
     const auto pool = pool_.lock();
--- a/libs/http1/src/header_rules.cpp
+++ b/libs/http1/src/header_rules.cpp
@@ -19,8 +19,9 @@
 
 bool concerns_connection(std::string_view name) {
     static constexpr std::array<std::string_view, 10> names = {
-        "connection", "keep-alive", "proxy-connection",  "te",     "trailer",
-        "upgrade",    "expect",     "transfer-encoding", "content-length", "http2-settings"};
+        "connection",     "keep-alive",    "proxy-connection", "te",
+        "trailer",        "upgrade",       "expect",           "transfer-encoding",
+        "content-length", "http2-settings"};
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -191,7 +191,8 @@
         if (stream_ == nullptr) {
             return;
         }
-        const bool body_waits = !requests_.empty() && requests_.back()->body_size() > max_waiting_body;
+        const bool body_waits =
+            !requests_.empty() && requests_.back()->body_size() > max_waiting_body;
         const bool is_full = requests_.size() >= max_pipelined;
         if (body_waits || is_full) {
             stream_->pause_reading();
@@ -244,7 +245,8 @@
     }
 
     void take(request_head head) {
-        if (head.framing == body_end::length && head.content_length > owner_.limits_.max_body_bytes) {
+        if (head.framing == body_end::length &&
+            head.content_length > owner_.limits_.max_body_bytes) {
             refuse(413, "Content Too Large");
             return;
         }
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -64,12 +64,12 @@
             fails_at_once_ = true;
         }
         const int made =
-            fails_at_once_ ? UV_EINVAL
-                           : uv_tcp_connect(&connect_, &handle_,
-                                            reinterpret_cast<const sockaddr*>(&address),
-                                            [](uv_connect_t* request, int status) {
-                                                static_cast<impl*>(request->data)->connected(status);
-                                            });
+            fails_at_once_
+                ? UV_EINVAL
+                : uv_tcp_connect(&connect_, &handle_, reinterpret_cast<const sockaddr*>(&address),
+                                 [](uv_connect_t* request, int status) {
+                                     static_cast<impl*>(request->data)->connected(status);
+                                 });
         if (made != 0) {
             report_failed_connect();
             return;
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -34,8 +34,8 @@
 
 /// Follows one topic: a full read, then one watch after the other. A watch continues from the last
 /// revision that brought changes, since an empty answer says nothing of changes that the watch has
-/// missed. After a failure everything is read again, after a pause that grows and has jitter, so that
-/// a returning store is not met by all nodes at once.
+/// missed. After a failure everything is read again, after a pause that grows and has jitter, so
+/// that a returning store is not met by all nodes at once.
 class registry_follower {
 public:
     explicit registry_follower(std::uint64_t seed) : random_(seed) {}
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -22,6 +22,8 @@
     /// True if the body is whole; otherwise pieces follow until message_end or attempt_failure.
     bool is_complete = false;
     std::optional<load_report> load;
+    /// True for a failure during which a call of the target's own had failed.
+    bool failed_below = false;
 };
 
 /// The request has not run and will not because of this attempt.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -112,29 +112,34 @@
     if (is_over_) {
         return;
     }
-    std::visit(overloaded{[&](attempt_reply& reply) {
-                              const bool is_complete = reply.is_complete;
-                              relay_.emplace(request_);
-                              relay_->begin(std::move(reply), load_header());
-                              if (is_complete) {
-                                  end();
-                              }
-                          },
-                          [&](const http1::body_piece& piece) { relay_->pass(piece.bytes, *work_); },
-                          [&](const http1::message_end&) {
-                              relay_->finish();
-                              end();
-                          },
-                          [&](const attempt_refusal& refused) { answer(refused); },
-                          [&](const attempt_failure& failed) {
-                              if (relay_) {
-                                  relay_->abort();
-                                  end();
-                              } else {
-                                  answer(failed);
-                              }
-                          }},
-               event);
+    std::visit(
+        overloaded{[&](attempt_reply& reply) {
+                       const bool is_complete = reply.is_complete;
+                       auto extra = load_header();
+                       if (reply.failed_below) {
+                           extra.push_back({std::string(below_field), "1"});
+                       }
+                       relay_.emplace(request_);
+                       relay_->begin(std::move(reply), extra);
+                       if (is_complete) {
+                           end();
+                       }
+                   },
+                   [&](const http1::body_piece& piece) { relay_->pass(piece.bytes, *work_); },
+                   [&](const http1::message_end&) {
+                       relay_->finish();
+                       end();
+                   },
+                   [&](const attempt_refusal& refused) { answer(refused); },
+                   [&](const attempt_failure& failed) {
+                       if (relay_) {
+                           relay_->abort();
+                           end();
+                       } else {
+                           answer(failed);
+                       }
+                   }},
+        event);
 }
 
 std::vector<http_header> inbound_call::load_header() const {
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -39,8 +39,13 @@
     return fmt::format("{:.0f}", to_ms(value));
 }
 
-attempt_result placement_end(refusal reason) {
-    switch (reason) {
+attempt_result placement_end(const attempt_refusal& refused) {
+    if (refused.reached_target) {
+        return attempt_result::answered_error;
+    }
+    switch (refused.reason) {
+    case refusal::chain_level:
+        return attempt_result::withdrawn;
     case refusal::target_down:
         return attempt_result::failed;
     case refusal::leaving:
@@ -72,7 +77,8 @@
 
 void outbound_call::start() {
     state_.last_request = arrived_;
-    request_id_ = std::string(find_header(request_->head().headers, state_.settings.fields.request_id));
+    request_id_ =
+        std::string(find_header(request_->head().headers, state_.settings.fields.request_id));
     if (!read_terms()) {
         return;
     }
@@ -105,6 +111,7 @@
     give_up_at_ = arrived_ + std::min(left.value_or(route_->timeout), route_->timeout);
     service_ = state_.rotation.next(*route_);
     state_.repeats.requested(arrived_, service_);
+    read_place_in_tree();
     headers_ = end_to_end(head.headers);
     std::erase_if(headers_, [&](const http_header& field) {
         return is_peer_field(field.name) || field.name == fields.expected_instance;
@@ -113,6 +120,20 @@
     return true;
 }
 
+void outbound_call::read_place_in_tree() {
+    parent_ = parent_of(request_id_);
+    priority_ = route_->priority;
+    const auto* above = parent_ ? state_.gate.terms_of_run(*parent_) : nullptr;
+    if (above == nullptr) {
+        return;
+    }
+    priority_ = above->priority;
+    is_in_repeat_ = above->is_repeat;
+    if (is_in_repeat_) {
+        state_.repeats.repeated_above(arrived_, service_);
+    }
+}
+
 void outbound_call::arm_timer() {
     const auto wait = std::max<duration>(give_up_at_ - state_.now(), 0ms);
     uv_timer_start(
@@ -176,7 +197,10 @@
 run_terms outbound_call::terms_now() const {
     run_terms terms;
     terms.route = route_->name;
-    terms.priority = route_->priority;
+    terms.priority = priority_;
+    terms.share = share_of(request_id_);
+    terms.is_nested = parent_.has_value();
+    terms.is_repeat = is_in_repeat_ || reached_targets_ > 1;
     terms.repeats = route_->repeats;
     terms.remaining = std::max<duration>(give_up_at_ - state_.now(), 1ms);
     const auto useful = route_->target_latency - elapsed();
@@ -275,10 +299,9 @@
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
-    tries_.front().work =
-        start_peer_attempt(state_.peers, state_.settings.fields,
-                           {peer, head_for(instance), body_, is_body_whole_, terms_now()},
-                           std::move(handler));
+    tries_.front().work = start_peer_attempt(
+        state_.peers, state_.settings.fields,
+        {peer, head_for(instance), body_, is_body_whole_, terms_now()}, std::move(handler));
 }
 
 void outbound_call::take(std::uint64_t number, attempt_event event) {
@@ -300,7 +323,7 @@
 }
 
 void outbound_call::take_refusal(tries::iterator at, const attempt_refusal& refused) {
-    note_placement(*at, placement_end(refused.reason), refused.load);
+    note_placement(*at, placement_end(refused), refused.load);
     if (refused.reason == refusal::leaving) {
         state_.places.set_leaving(state_.now(), at->instance);
     }
@@ -311,12 +334,19 @@
         }
     }
     last_refusal_ = refused.reason;
+    last_refusal_reached_target_ = refused.reached_target;
     last_problem_ = std::string(name_of(refused.reason));
     retry_after_ = std::max(retry_after_, refused.retry_after);
     tries_.erase(at);
-    if (tries_.empty()) {
-        next_try();
+    if (!tries_.empty()) {
+        return;
     }
+    if (refused.reason == refusal::chain_level) {
+        // The shortage lies further down, where all instances of the service meet it.
+        conclude();
+        return;
+    }
+    next_try();
 }
 
 void outbound_call::take_failure(tries::iterator at, const attempt_failure& failed) {
@@ -339,7 +369,7 @@
     note_placement(*at, is_error ? attempt_result::answered_error : attempt_result::answered,
                    reply.load);
     const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
-                                    reply.head.status != 504 && !fallback_;
+                                    reply.head.status != 504 && !reply.failed_below && !fallback_;
     if (!is_worth_repeating) {
         deliver(at, std::move(reply));
         return;
@@ -450,17 +480,28 @@
     tries_.clear();
 }
 
+void outbound_call::tell_parent(call_end how) {
+    if (!parent_ || how == call_end::served || how == call_end::abandoned) {
+        return;
+    }
+    const bool was_shed_by_target = last_refusal_reached_target_;
+    const bool for_want_of_room =
+        (how == call_end::refused && !was_shed_by_target) || how == call_end::timed_out;
+    state_.gate.call_failed(*parent_, for_want_of_room);
+}
+
 void outbound_call::end(call_end how, int status, std::string_view cause) {
     const auto self = shared_from_this();
     is_over_ = true;
     uv_timer_stop(timer_);
+    tell_parent(how);
     const auto took = elapsed();
     if (how == call_end::served && route_->target_latency > duration{0} &&
         took > route_->target_latency) {
         how = call_end::served_late;
     }
-    const bool was_relayed = how == call_end::served || how == call_end::served_late ||
-                             how == call_end::target_error;
+    const bool was_relayed =
+        how == call_end::served || how == call_end::served_late || how == call_end::target_error;
     const std::string instance = tries_.empty() ? "-" : tries_.front().instance.str();
     if (was_relayed) {
         tries_.clear();
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <trefoil/http1/server.hpp>
+#include <trefoil/traffic/call_tree.hpp>
 #include <trefoil/traffic/placement.hpp>
 
 #include "attempt.hpp"
@@ -47,6 +48,7 @@
 
     void start();
     bool read_terms();
+    void read_place_in_tree();
     void arm_timer();
     void body_arrived();
     void send_more_body();
@@ -72,6 +74,7 @@
 
     void note_placement(const running_try& done, attempt_result end,
                         const std::optional<load_report>& load);
+    void tell_parent(call_end how);
     void drop_tries();
     void end(call_end how, int status, std::string_view cause);
     duration elapsed() const;
@@ -83,6 +86,10 @@
     std::uint64_t config_version_ = 0;
     service_name service_;
     std::string request_id_;
+    /// The request during which the own target made this call.
+    std::optional<std::string> parent_;
+    std::uint32_t priority_ = 0;
+    bool is_in_repeat_ = false;
     time_point arrived_;
     time_point give_up_at_;
     /// Headers that are passed on, without the instance's.
@@ -101,6 +108,7 @@
     /// A failure that the target answered, delivered unless a repeat does better.
     std::optional<attempt_reply> fallback_;
     refusal last_refusal_ = refusal::none;
+    bool last_refusal_reached_target_ = false;
     duration retry_after_{0};
     std::string last_problem_;
 
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -18,8 +18,7 @@
     explicit peer_attempt(attempt_handler on_event) : on_event_(std::move(on_event)) {}
 
     void start(http1::client& client, const call_fields& fields, peer_request request) {
-        request.head.headers.push_back(
-            {std::string(terms_field), encode_terms(request.terms)});
+        request.head.headers.push_back({std::string(terms_field), encode_terms(request.terms)});
         set_header(request.head.headers, fields.time_left,
                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
                                       request.terms.remaining)
@@ -29,8 +28,8 @@
         if (request.terms.repeats == repeatability::at_most_once) {
             options.max_idle = fresh_connection;
         }
-        exchange_ = client.start(request.peer, request.head, request.body,
-                                 request.is_body_complete, std::move(options),
+        exchange_ = client.start(request.peer, request.head, request.body, request.is_body_complete,
+                                 std::move(options),
                                  [this](http1::exchange_event event) { take(std::move(event)); });
     }
 
@@ -73,6 +72,7 @@
     /// Separates the target's answers from those that the peer made itself.
     static attempt_event judge(attempt_reply reply) {
         reply.load = decode_load(find_header(reply.head.headers, load_field));
+        reply.failed_below = !find_header(reply.head.headers, below_field).empty();
         const auto text = find_header(reply.head.headers, verdict_field);
         if (text.empty()) {
             std::erase_if(reply.head.headers,
--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -58,29 +58,33 @@
 }
 
 std::string encode_terms(const run_terms& terms) {
-    return fmt::format("{} {} {} {} {}", terms.priority,
+    return fmt::format("{} {} {} {} {} {} {}", terms.priority, terms.share,
                        terms.repeats == repeatability::at_most_once ? 1 : 0,
-                       terms.is_nested ? 1 : 0, whole_ms(terms.useful), terms.route);
+                       terms.is_nested ? 1 : 0, terms.is_repeat ? 1 : 0, whole_ms(terms.useful),
+                       terms.route);
 }
 
 std::optional<run_terms> decode_terms(std::string_view text) {
-    const auto parts = split<5>(text, ' ');
+    const auto parts = split<7>(text, ' ');
     if (!parts) {
         return std::nullopt;
     }
-    const auto priority = number((*parts)[0]);
-    const auto once = number((*parts)[1]);
-    const auto nested = number((*parts)[2]);
-    const auto useful = number((*parts)[3]);
-    if (!priority || !once || !nested || !useful) {
-        return std::nullopt;
+    std::array<std::uint32_t, 6> numbers{};
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+        const auto value = number((*parts)[i]);
+        if (!value) {
+            return std::nullopt;
+        }
+        numbers[i] = *value;
     }
     run_terms terms;
-    terms.priority = *priority;
-    terms.repeats = *once != 0 ? repeatability::at_most_once : repeatability::idempotent;
-    terms.is_nested = *nested != 0;
-    terms.useful = std::chrono::milliseconds(*useful);
-    terms.route = std::string((*parts)[4]);
+    terms.priority = numbers[0];
+    terms.share = numbers[1];
+    terms.repeats = numbers[2] != 0 ? repeatability::at_most_once : repeatability::idempotent;
+    terms.is_nested = numbers[3] != 0;
+    terms.is_repeat = numbers[4] != 0;
+    terms.useful = std::chrono::milliseconds(numbers[5]);
+    terms.route = std::string((*parts)[6]);
     return terms;
 }
 
--- a/libs/proxy/src/peer_message.hpp
+++ b/libs/proxy/src/peer_message.hpp
@@ -20,10 +20,15 @@
 struct run_terms {
     /// Names the kind of work; service times are learnt by it.
     std::string route;
+    /// Of the whole request, 0 the most important.
     std::uint32_t priority = 0;
+    /// Place of the whole request in the order of shedding within its priority, see share_of.
+    std::uint32_t share = 0;
     repeatability repeats = repeatability::at_most_once;
     /// True for a call that a target made while it ran another request.
     bool is_nested = false;
+    /// True if this run, or one further up, is a repeat.
+    bool is_repeat = false;
     /// Time in which an answer is worth most.
     duration useful{0};
     /// Time until the caller stops waiting.
@@ -37,6 +42,8 @@
 inline constexpr std::string_view terms_field = "trefoil-terms";
 /// Field with a verdict, on answers that a proxy makes itself.
 inline constexpr std::string_view verdict_field = "trefoil-verdict";
+/// Field on a target's failure that comes from a call that it made itself.
+inline constexpr std::string_view below_field = "trefoil-below";
 /// Field with the load, on answers between proxies.
 inline constexpr std::string_view load_field = "trefoil-load";
 
--- a/libs/proxy/src/proxy_metrics.cpp
+++ b/libs/proxy/src/proxy_metrics.cpp
@@ -7,8 +7,8 @@
 namespace trefoil {
 namespace {
 
-constexpr std::array<duration, 11> bounds = {5ms,   10ms,  25ms, 50ms, 100ms, 250ms,
-                                             500ms, 1000ms, 2s,  4s,   8s};
+constexpr std::array<duration, 11> bounds = {5ms,   10ms,   25ms, 50ms, 100ms, 250ms,
+                                             500ms, 1000ms, 2s,   4s,   8s};
 
 /// A label's value with what the format reserves escaped.
 std::string label(std::string_view value) {
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -94,8 +94,8 @@
               [this](auto request) { answer_metrics(*request); }}},
         }};
         for (const auto& [slot, wanted] : listeners) {
-            auto opened = http1::server::listen(state_.loop, wanted.where, wanted.limits,
-                                                wanted.on_request);
+            auto opened =
+                http1::server::listen(state_.loop, wanted.where, wanted.limits, wanted.on_request);
             if (!opened.ok()) {
                 return opened.status();
             }
@@ -260,8 +260,9 @@
 
     void stop() {
         if (state_.is_stopping) {
-            state_.note(log_class::state,
-                        [] { return log_record{log_event::second_stop_signal, {}}; });
+            state_.note(log_class::state, [] {
+                return log_record{log_event::second_stop_signal, {}};
+            });
             return;
         }
         state_.is_stopping = true;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -209,8 +209,7 @@
     }
     is_reported_lost_ = false;
     state_.note(log_class::state, [&] {
-        return log_record{log_event::platform_reachable,
-                          {{"topic", std::string(name_of(topic_))}}};
+        return log_record{log_event::platform_reachable, {{"topic", std::string(name_of(topic_))}}};
     });
 }
 
--- a/libs/proxy/src/reply_collector.cpp
+++ b/libs/proxy/src/reply_collector.cpp
@@ -20,7 +20,7 @@
                        if (is_passing_) {
                            return end;
                        }
-                       return attempt_reply{std::move(head_), std::move(body_), true, {}};
+                       return attempt_reply{std::move(head_), std::move(body_), true, {}, false};
                    },
                    [&](http1::exchange_failure why) -> result {
                        if (why == http1::exchange_failure::not_sent) {
@@ -42,7 +42,7 @@
         return std::nullopt;
     }
     is_passing_ = true;
-    return attempt_reply{std::move(head_), std::move(body_), false, {}};
+    return attempt_reply{std::move(head_), std::move(body_), false, {}, false};
 }
 
 } // namespace trefoil
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -46,7 +46,8 @@
 
 std::uint32_t position_of(const run_terms& terms) {
     const auto priority = std::min(terms.priority, highest_priority_number);
-    return priority * positions_per_priority + (terms.is_nested ? 0 : caller_position);
+    return priority * positions_per_priority + (terms.is_nested ? 0 : caller_position) +
+           terms.share;
 }
 
 } // namespace
@@ -60,6 +61,7 @@
 
     ~run() override {
         gate_.runs_.erase(call_);
+        forget_running();
         if (!is_over_) {
             exchange_.reset();
             gate_.give_up(call_, started_);
@@ -97,10 +99,13 @@
     /// The request's turn has come.
     void start() {
         started_ = gate_.now();
+        gate_.running_[request_.request_id] = this;
+        gate_.downstream_.began(started_, request_.terms.route, request_.terms.priority);
         const auto waited = started_ - arrived_;
         const auto left = std::max<duration>(request_.terms.remaining - waited, 1ms);
-        set_header(request_.head.headers, gate_.fields_.time_left,
-                   std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+        set_header(
+            request_.head.headers, gate_.fields_.time_left,
+            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
         http1::exchange_options options;
         options.connect_timeout = target_connect_timeout;
         if (request_.terms.repeats == repeatability::at_most_once) {
@@ -110,9 +115,9 @@
             const auto echoed = find_header(head.headers, gate_.fields_.request_id);
             return echoed.empty() || echoed == request_.request_id;
         };
-        exchange_ = gate_.client_.start(gate_.target_, request_.head, request_.body,
-                                        request_.is_body_complete, std::move(options),
-                                        [this](http1::exchange_event event) { take(std::move(event)); });
+        exchange_ = gate_.client_.start(
+            gate_.target_, request_.head, request_.body, request_.is_body_complete,
+            std::move(options), [this](http1::exchange_event event) { take(std::move(event)); });
         request_.body.clear();
     }
 
@@ -121,6 +126,17 @@
         emit(gate_.refused(reason, position_of(request_.terms)));
     }
 
+    const run_terms& terms() const { return request_.terms; }
+
+    void call_failed(bool for_want_of_room) {
+        if (for_want_of_room && !had_call_refused_) {
+            had_call_refused_ = true;
+            gate_.downstream_.call_refused(gate_.now(), request_.terms.route,
+                                           request_.terms.priority);
+        }
+        had_call_failed_ = true;
+    }
+
     /// The gate's maker is told of the refusal by submit() itself.
     void set_refused() { is_over_ = true; }
 
@@ -153,9 +169,12 @@
     void judge(attempt_reply reply) {
         const bool is_complete = reply.is_complete;
         const bool is_error = reply.head.status >= 500;
+        reply.failed_below = is_error && had_call_failed_;
         auto judged = judge_target_answer(gate_.fields_, request_.terms.repeats, std::move(reply));
         if (auto* refused = std::get_if<attempt_refusal>(&judged)) {
-            end_run(service_end::shed);
+            // Fewer requests than the target's slots were handed to it, so that it does not refuse
+            // for want of them.
+            end_run(service_end::errored);
             refused->load = gate_.load();
         } else if (std::holds_alternative<attempt_failure>(judged)) {
             end_run(service_end::errored);
@@ -165,9 +184,17 @@
         emit(std::move(judged));
     }
 
+    void forget_running() {
+        const auto found = gate_.running_.find(request_.request_id);
+        if (found != gate_.running_.end() && found->second == this) {
+            gate_.running_.erase(found);
+        }
+    }
+
     /// The target is done with the request; its slot is free.
     void end_run(service_end end) {
         is_over_ = true;
+        forget_running();
         exchange_.reset();
         gate_.admission_.finished(gate_.now(), call_, {gate_.now() - started_, end});
     }
@@ -186,6 +213,8 @@
     std::unique_ptr<http1::exchange> exchange_;
     reply_collector collector_;
     bool is_over_ = false;
+    bool had_call_failed_ = false;
+    bool had_call_refused_ = false;
 };
 
 target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields)
@@ -208,6 +237,10 @@
 target_gate::submit(gate_request request, attempt_handler on_event) {
     const call_id call{next_call_++};
     const auto position = position_of(request.terms);
+    const auto& terms = request.terms;
+    if (!downstream_.admits(now(), terms.route, terms.priority, terms.share)) {
+        return refused(refusal::chain_level, position);
+    }
     admission_request offered;
     offered.call = call;
     offered.kind = request.terms.route;
@@ -229,6 +262,18 @@
     return made;
 }
 
+const run_terms* target_gate::terms_of_run(const std::string& request_id) const {
+    const auto found = running_.find(request_id);
+    return found == running_.end() ? nullptr : &found->second->terms();
+}
+
+void target_gate::call_failed(const std::string& request_id, bool for_want_of_room) {
+    const auto found = running_.find(request_id);
+    if (found != running_.end()) {
+        found->second->call_failed(for_want_of_room);
+    }
+}
+
 attempt_refusal target_gate::refused(refusal reason, std::uint32_t position) const {
     attempt_refusal result;
     result.reason = reason;
--- a/libs/proxy/src/target_gate.hpp
+++ b/libs/proxy/src/target_gate.hpp
@@ -12,6 +12,7 @@
 #include <trefoil/base/endpoint.hpp>
 #include <trefoil/http1/client.hpp>
 #include <trefoil/proxy/call_fields.hpp>
+#include <trefoil/traffic/downstream_level.hpp>
 
 #include "attempt.hpp"
 #include "peer_message.hpp"
@@ -42,6 +43,12 @@
     std::variant<std::unique_ptr<attempt>, attempt_refusal> submit(gate_request request,
                                                                    attempt_handler on_event);
 
+    /// The terms of the run during which the target makes a call; null if no such run is known.
+    const run_terms* terms_of_run(const std::string& request_id) const;
+
+    /// A call that the target made during a run has failed, perhaps for want of room.
+    void call_failed(const std::string& request_id, bool for_want_of_room);
+
     /// What the target declares of itself.
     void set_slots(std::uint32_t slots);
     /// The target's process is new and slow at first.
@@ -57,7 +64,8 @@
     class run;
 
     time_point now() const;
-    /// Carries out admission's decisions. A refusal of the call that is being submitted is returned.
+    /// Carries out admission's decisions. A refusal of the call that is being submitted is
+    /// returned.
     refusal advance(call_id submitted = {});
     /// The owner of a waiting or running request has gone.
     void give_up(call_id call, time_point since);
@@ -69,7 +77,10 @@
     const call_fields& fields_;
     http1::client client_;
     admission admission_;
+    downstream_level downstream_;
     std::unordered_map<call_id, run*> runs_;
+    /// Running requests by id, for the calls that they make.
+    std::unordered_map<std::string, run*> running_;
     std::uint64_t next_call_ = 1;
     uv_timer_s* timer_;
 };
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -56,8 +56,8 @@
     static constexpr duration lapse_grace = 1900ms;
 
     /// Takes the complete list of a read.
-    std::vector<std::pair<instance_id, directory_change>>
-    replace(time_point now, std::vector<listed_instance> all);
+    std::vector<std::pair<instance_id, directory_change>> replace(time_point now,
+                                                                  std::vector<listed_instance> all);
 
     /// Takes one changed entry.
     directory_change put(time_point now, listed_instance entry);
--- a/libs/traffic/include/trefoil/traffic/repeat_allowance.hpp
+++ b/libs/traffic/include/trefoil/traffic/repeat_allowance.hpp
@@ -33,6 +33,10 @@
     /// Notes that a request for the service arrived.
     void requested(time_point now, const service_name& service);
 
+    /// Notes a request that is a repeat whatever is decided here, since the run that made it is
+    /// one.
+    void repeated_above(time_point now, const service_name& service);
+
     /// Takes one repeat; false if the window has no room for it.
     bool take(time_point now, const service_name& service);
 
@@ -42,7 +46,7 @@
 private:
     static constexpr std::size_t slices = 20;
     /// Share of the bound that is used, since windows of nodes and of observers slide apart.
-    static constexpr double used_share = 0.6;
+    static constexpr double used_share = 0.75;
 
     struct slice {
         std::int64_t number = -1;
--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -159,9 +159,8 @@
         state.refusing_until = now + refusal_pause;
     }
     const auto good = good_at_.find(request.service);
-    const auto event =
-        state.health.note(now, result.end,
-                          good == good_at_.end() ? std::nullopt : std::optional(good->second));
+    const auto event = state.health.note(
+        now, result.end, good == good_at_.end() ? std::nullopt : std::optional(good->second));
     return {instance, event, state.health.state(now)};
 }
 
--- a/libs/traffic/src/repeat_allowance.cpp
+++ b/libs/traffic/src/repeat_allowance.cpp
@@ -19,6 +19,10 @@
     ++present(now, service).requests;
 }
 
+void repeat_allowance::repeated_above(time_point now, const service_name& service) {
+    ++present(now, service).repeats;
+}
+
 bool repeat_allowance::take(time_point now, const service_name& service) {
     auto& newest = present(now, service);
     std::uint64_t requests = 0;
@@ -29,9 +33,8 @@
             repeats += at.repeats;
         }
     }
-    const double allowed =
-        used_share * (bound_.ratio * static_cast<double>(requests) +
-                      bound_.slack / static_cast<double>(nodes_));
+    const double allowed = used_share * (bound_.ratio * static_cast<double>(requests) +
+                                         bound_.slack / static_cast<double>(nodes_));
     if (static_cast<double>(repeats) + 1 > allowed) {
         return false;
     }
--- a/tools/trefoil-proxy/main.cpp
+++ b/tools/trefoil-proxy/main.cpp
@@ -33,7 +33,8 @@
     const std::string path = settings.path.empty() && named != nullptr ? named : settings.path;
     const auto read = platform::read_settings(path);
     if (!read.ok()) {
-        write_log({log_event::setting_invalid, {{"problem", std::string(read.status().message())}}});
+        write_log(
+            {log_event::setting_invalid, {{"problem", std::string(read.status().message())}}});
         return exit_bad_settings;
     }
     if (settings.check_only) {
