--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -60,6 +60,9 @@
     /// Closes the connection after the bytes written so far have left.
     void close_when_drained();
 
+    /// Ends the connection with a reset.
+    void reset();
+
 private:
     class impl;
     explicit tcp_stream(impl* made) : impl_(made) {}
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -136,6 +136,17 @@
         close();
     }
 
+    /// The owner is gone; the peer sees a reset.
+    void reset() {
+        handlers_ = {};
+        uv_os_fd_t socket = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
+            const linger at_once{1, 0};
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        }
+        close();
+    }
+
 private:
     struct write_request {
         uv_write_t request;
@@ -324,6 +335,11 @@
     impl_->resume();
 }
 
+void tcp_stream::reset() {
+    impl_->reset();
+    impl_ = nullptr;
+}
+
 void tcp_stream::close_when_drained() {
     impl_->release(true);
     impl_ = nullptr;
--- /dev/null
+++ b/libs/http1/tests/connection_test.cpp
@@ -0,0 +1,349 @@
+// Client and server over loopback, against a peer that sends raw bytes.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/client.hpp>
+#include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/server.hpp>
+#include <trefoil/http1/tcp_stream.hpp>
+
+using namespace trefoil;
+using namespace trefoil::http1;
+
+namespace {
+
+/// A loop that runs until a condition holds.
+struct test_loop {
+    uv_loop_t loop{};
+
+    test_loop() { uv_loop_init(&loop); }
+    ~test_loop() {
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+    }
+
+    bool run_until(const std::function<bool()>& condition) {
+        uv_timer_t timer;
+        uv_timer_init(&loop, &timer);
+        uv_timer_start(
+            &timer, [](uv_timer_t*) {}, 1, 1);
+        const auto end = uv_hrtime() + 5'000'000'000ULL;
+        while (!condition() && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        uv_close(reinterpret_cast<uv_handle_t*>(&timer), nullptr);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        return condition();
+    }
+};
+
+/// A port on which nothing listens at present.
+std::uint16_t free_port() {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    close(socket);
+    return ntohs(address.sin_port);
+}
+
+/// Accepts connections and answers each request with the next of the given texts.
+class raw_target {
+public:
+    raw_target(uv_loop_t* loop, std::vector<std::string> answers)
+        : answers_(std::move(answers)), port_(free_port()) {
+        uv_tcp_init(loop, &listener_);
+        listener_.data = this;
+        sockaddr_in address{};
+        uv_ip4_addr("127.0.0.1", port_, &address);
+        uv_tcp_bind(&listener_, reinterpret_cast<sockaddr*>(&address), 0);
+        uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 16, [](uv_stream_t* stream, int) {
+            static_cast<raw_target*>(stream->data)->accept(stream);
+        });
+    }
+    ~raw_target() { uv_close(reinterpret_cast<uv_handle_t*>(&listener_), nullptr); }
+
+    endpoint where() const { return {"127.0.0.1", port_}; }
+
+    /// What follows an answer.
+    enum class after { keep, close, reset };
+    after after_answer = after::keep;
+    int connections = 0;
+    int requests = 0;
+    int ended = 0;
+
+private:
+    void accept(uv_stream_t* stream) {
+        ++connections;
+        const auto index = streams_.size();
+        streams_.push_back(
+            tcp_stream::accept(stream->loop, stream,
+                               {{},
+                                [this, index](std::string_view bytes) { read(index, bytes); },
+                                [this](stream_end) { ++ended; },
+                                {}}));
+    }
+
+    void read(std::size_t index, std::string_view bytes) {
+        if (bytes.find("\r\n\r\n") == std::string_view::npos) {
+            return;
+        }
+        const auto next = static_cast<std::size_t>(requests++);
+        streams_[index]->write(answers_[std::min(next, answers_.size() - 1)]);
+        if (after_answer == after::close) {
+            streams_[index]->close_when_drained();
+        } else if (after_answer == after::reset) {
+            streams_[index]->reset();
+        }
+    }
+
+    std::vector<std::string> answers_;
+    std::uint16_t port_;
+    uv_tcp_t listener_{};
+    std::vector<std::unique_ptr<tcp_stream>> streams_;
+};
+
+struct exchange_record {
+    int status = 0;
+    std::string body;
+    bool is_complete = false;
+    bool has_failed = false;
+    exchange_failure failure = exchange_failure::not_sent;
+    std::unique_ptr<exchange> running;
+
+    bool is_over() const { return is_complete || has_failed; }
+};
+
+void begin(client& from, const endpoint& to, exchange_record& record, const std::string& id = "") {
+    request_head head;
+    head.method = "GET";
+    head.target = "/";
+    exchange_options options;
+    if (!id.empty()) {
+        options.is_expected = [id](const response_head& answer) {
+            return find_header(answer.headers, "id") == id;
+        };
+    }
+    record.running = from.start(to, head, {}, true, options, [&record](exchange_event event) {
+        std::visit(overloaded{[&](const response_head& answer) { record.status = answer.status; },
+                              [&](const body_piece& piece) { record.body += piece.bytes; },
+                              [&](const message_end&) { record.is_complete = true; },
+                              [&](exchange_failure why) {
+                                  record.has_failed = true;
+                                  record.failure = why;
+                              }},
+                   event);
+    });
+}
+
+std::string ok(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a connection is used again after a whole answer") {
+    test_loop at;
+    raw_target target(&at.loop, {ok("1", "a"), ok("2", "b")});
+    client from(&at.loop, {});
+    for (const auto* id : {"1", "2"}) {
+        exchange_record record;
+        begin(from, target.where(), record, id);
+        REQUIRE(at.run_until([&] { return record.is_over(); }));
+        CHECK(record.is_complete);
+    }
+    CHECK(target.connections == 1);
+}
+
+TEST_CASE("an answer that belongs to an earlier request is dropped, the right one is taken") {
+    test_loop at;
+    raw_target target(&at.loop, {ok("0", "late") + ok("1", "mine"), ok("2", "b")});
+    client from(&at.loop, {});
+    exchange_record first;
+    begin(from, target.where(), first, "1");
+    REQUIRE(at.run_until([&] { return first.is_over(); }));
+    CHECK(first.body == "mine");
+    exchange_record second;
+    begin(from, target.where(), second, "2");
+    REQUIRE(at.run_until([&] { return second.is_over(); }));
+    CHECK(second.body == "b");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("surplus bytes after an answer end the connection") {
+    test_loop at;
+    raw_target target(&at.loop, {ok("1", "a") + ok("1", "again"), ok("2", "b")});
+    client from(&at.loop, {});
+    exchange_record first;
+    begin(from, target.where(), first, "1");
+    REQUIRE(at.run_until([&] { return first.is_over(); }));
+    CHECK(first.body == "a");
+    exchange_record second;
+    begin(from, target.where(), second, "2");
+    REQUIRE(at.run_until([&] { return second.is_over(); }));
+    CHECK(second.body == "b");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("an answer without a length is whole if its connection is closed") {
+    test_loop at;
+    raw_target target(&at.loop, {"HTTP/1.1 200 OK\r\n\r\nabc"});
+    target.after_answer = raw_target::after::close;
+    client from(&at.loop, {});
+    exchange_record record;
+    begin(from, target.where(), record);
+    REQUIRE(at.run_until([&] { return record.is_over(); }));
+    CHECK(record.is_complete);
+    CHECK(record.body == "abc");
+}
+
+TEST_CASE("an answer without a length is not whole if its connection is reset") {
+    test_loop at;
+    raw_target target(&at.loop, {"HTTP/1.1 200 OK\r\n\r\nabc"});
+    target.after_answer = raw_target::after::reset;
+    client from(&at.loop, {});
+    exchange_record record;
+    begin(from, target.where(), record);
+    REQUIRE(at.run_until([&] { return record.is_over(); }));
+    CHECK_FALSE(record.is_complete);
+    CHECK(record.has_failed);
+}
+
+TEST_CASE("no listener means that nothing was sent") {
+    test_loop at;
+    client from(&at.loop, {});
+    exchange_record record;
+    begin(from, {"127.0.0.1", free_port()}, record);
+    REQUIRE(at.run_until([&] { return record.is_over(); }));
+    CHECK(record.failure == exchange_failure::not_sent);
+}
+
+TEST_CASE("giving an exchange up closes its connection") {
+    test_loop at;
+    raw_target target(&at.loop, {""});
+    client from(&at.loop, {});
+    exchange_record record;
+    begin(from, target.where(), record);
+    REQUIRE(at.run_until([&] { return target.requests == 1; }));
+    record.running.reset();
+    CHECK(at.run_until([&] { return target.ended == 1; }));
+}
+
+namespace {
+
+/// A client that sends raw bytes and collects what comes back.
+struct raw_client {
+    std::unique_ptr<tcp_stream> stream;
+    std::string received;
+    bool is_ended = false;
+
+    raw_client(uv_loop_t* loop, const endpoint& to) {
+        stream = tcp_stream::connect(loop, to,
+                                     {{},
+                                      [this](std::string_view bytes) { received += bytes; },
+                                      [this](stream_end) { is_ended = true; },
+                                      {}});
+    }
+};
+
+struct served {
+    std::vector<std::shared_ptr<served_request>> requests;
+    int gone = 0;
+    std::unique_ptr<server> listener;
+    endpoint where{"127.0.0.1", free_port()};
+
+    explicit served(uv_loop_t* loop, server_limits limits = {}) {
+        auto made = server::listen(loop, where, limits, [this](std::shared_ptr<served_request> one) {
+            one->set_handlers({{}, [this] { ++gone; }, {}});
+            requests.push_back(std::move(one));
+        });
+        REQUIRE(made.ok());
+        listener = std::move(*made);
+    }
+
+    void answer(std::size_t index, const std::string& body) {
+        response_head head;
+        head.status = 200;
+        head.reason = "OK";
+        requests[index]->respond(head, body);
+    }
+};
+
+} // namespace
+
+TEST_CASE("pipelined requests are handed on at once and answered in their order") {
+    test_loop at;
+    served served_at(&at.loop);
+    raw_client from(&at.loop, served_at.where);
+    from.stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(at.run_until([&] { return served_at.requests.size() == 2; }));
+    served_at.answer(1, "second");
+    served_at.answer(0, "first");
+    REQUIRE(at.run_until([&] { return from.received.find("second") != std::string::npos; }));
+    CHECK(from.received.find("first") < from.received.find("second"));
+}
+
+TEST_CASE("a client that goes away is noticed while its request is worked on") {
+    test_loop at;
+    served served_at(&at.loop);
+    raw_client from(&at.loop, served_at.where);
+    from.stream->write("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(at.run_until([&] { return served_at.requests.size() == 1; }));
+    from.stream.reset();
+    CHECK(at.run_until([&] { return served_at.gone == 1; }));
+}
+
+TEST_CASE("an answer given before the body is read leaves the next request in place") {
+    test_loop at;
+    served served_at(&at.loop);
+    raw_client from(&at.loop, served_at.where);
+    from.stream->write("POST /1 HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
+    REQUIRE(at.run_until([&] { return served_at.requests.size() == 1; }));
+    served_at.answer(0, "early");
+    from.stream->write("defGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(at.run_until([&] { return served_at.requests.size() == 2; }));
+    CHECK(served_at.requests[1]->head().target == "/2");
+}
+
+TEST_CASE("an aborted answer can't look complete") {
+    test_loop at;
+    served served_at(&at.loop);
+    raw_client from(&at.loop, served_at.where);
+    from.stream->write("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(at.run_until([&] { return served_at.requests.size() == 1; }));
+    response_head head;
+    head.status = 200;
+    head.reason = "OK";
+    head.framing = body_end::connection_close;
+    served_at.requests[0]->begin(head);
+    served_at.requests[0]->write("abc");
+    REQUIRE(at.run_until([&] { return from.received.find("abc") != std::string::npos; }));
+    served_at.requests[0]->abort();
+    REQUIRE(at.run_until([&] { return from.is_ended; }));
+    CHECK(from.received.find("chunked") != std::string::npos);
+    CHECK(from.received.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a body above the bound is refused without being read") {
+    test_loop at;
+    server_limits limits;
+    limits.max_body_bytes = 10;
+    served served_at(&at.loop, limits);
+    raw_client from(&at.loop, served_at.where);
+    from.stream->write("POST /1 HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    REQUIRE(at.run_until([&] { return from.received.find("413") != std::string::npos; }));
+    CHECK(served_at.requests.empty());
+}
--- /dev/null
+++ b/libs/http1/tests/parser_test.cpp
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/message_parser.hpp>
+
+using namespace trefoil;
+using namespace trefoil::http1;
+
+namespace {
+
+std::string describe(const request_event& event) {
+    return std::visit(
+        overloaded{[](const request_head& head) { return head.method + " " + head.target; },
+                   [](const body_piece& piece) { return "[" + piece.bytes + "]"; },
+                   [](const message_end& end) -> std::string {
+                       return end.keeps_connection ? "end" : "end close";
+                   },
+                   [](parse_failure why) -> std::string {
+                       return why == parse_failure::head_too_large ? "too large" : "bad";
+                   }},
+        event);
+}
+
+/// What a connection's bytes hold, read in pieces of the given size.
+std::string read_requests(const std::string& bytes, std::size_t piece = 1000) {
+    request_parser parser(400);
+    std::string all;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        std::vector<request_event> events;
+        parser.feed(std::string_view(bytes).substr(at, piece), events);
+        for (const auto& event : events) {
+            all += describe(event) + "; ";
+        }
+    }
+    return all;
+}
+
+std::string read_answers(const std::string& bytes, bool ends = false) {
+    response_parser parser;
+    std::vector<response_event> events;
+    parser.feed(bytes, events);
+    if (ends) {
+        parser.finish(events);
+    }
+    std::string all;
+    for (const auto& event : events) {
+        all += std::visit(
+                   overloaded{[](const response_head& head) { return std::to_string(head.status); },
+                              [](const body_piece& piece) { return "[" + piece.bytes + "]"; },
+                              [](const message_end&) -> std::string { return "end"; },
+                              [](parse_failure) -> std::string { return "bad"; }},
+                   event) +
+               "; ";
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("pipelined requests are read one after the other, in pieces of any size") {
+    const std::string bytes = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                              "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                              "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    CHECK(read_requests(bytes) == "GET /1; end; POST /2; [abc]; end; GET /3; end close; ");
+    CHECK(read_requests(bytes, 1).find("GET /3; end close; ") != std::string::npos);
+}
+
+TEST_CASE("chunked bodies are read without their framing") {
+    CHECK(read_requests("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n") == "POST /; [abc]; [de]; end; ");
+}
+
+TEST_CASE("requests with two framings are refused") {
+    CHECK(read_requests("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n0\r\n\r\n")
+              .find("bad") != std::string::npos);
+    CHECK(read_requests("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")
+              .find("bad") != std::string::npos);
+}
+
+TEST_CASE("an upgrade is not offered, so what follows is the next request") {
+    CHECK(read_requests("GET /1 HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+                        "GET /2 HTTP/1.1\r\n\r\n")
+              .find("GET /2; end") != std::string::npos);
+}
+
+TEST_CASE("a head above the bound is refused") {
+    CHECK(read_requests("GET / HTTP/1.1\r\nX: " + std::string(500, 'a') + "\r\n\r\n") ==
+          "too large; ");
+}
+
+TEST_CASE("an answer without a length is complete only at an orderly end") {
+    CHECK(read_answers("HTTP/1.1 200 OK\r\n\r\nabc") == "200; [abc]; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\n\r\nabc", true) == "200; [abc]; end; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", true) ==
+          "200; [abc]; bad; ");
+}
+
+TEST_CASE("bytes that are no answer are reported") {
+    CHECK(read_answers("garbage") == "bad; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage") ==
+          "200; [a]; end; bad; ");
+}
+
+TEST_CASE("fields that concern one connection are not passed on") {
+    const std::vector<http_header> headers = {
+        {"host", "a"},       {"connection", "close, X-Hop"}, {"x-hop", "1"},
+        {"keep-alive", "5"}, {"transfer-encoding", "x"},     {"date", "d"}};
+    CHECK(end_to_end(headers) == std::vector<http_header>{{"host", "a"}, {"date", "d"}});
+}
--- /dev/null
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -0,0 +1,105 @@
+#include <doctest/doctest.h>
+
+#include "own_answer.hpp"
+#include "peer_message.hpp"
+#include "target_answer.hpp"
+
+using namespace trefoil;
+
+namespace {
+
+call_fields make_fields() {
+    return {"id", "time-left", "from", "expected", "not-executed", "stamp"};
+}
+
+attempt_reply reply_of(int status, std::vector<http_header> headers) {
+    attempt_reply reply;
+    reply.head.status = status;
+    reply.head.headers = std::move(headers);
+    reply.is_complete = true;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("terms survive the way between nodes") {
+    run_terms terms;
+    terms.route = "r-1";
+    terms.priority = 2;
+    terms.share = 77;
+    terms.repeats = repeatability::idempotent;
+    terms.is_nested = true;
+    terms.is_repeat = true;
+    terms.useful = 1200ms;
+    CHECK(decode_terms(encode_terms(terms)) == terms);
+}
+
+TEST_CASE("malformed terms are refused") {
+    CHECK_FALSE(decode_terms(""));
+    CHECK_FALSE(decode_terms("1 2 3"));
+    CHECK_FALSE(decode_terms("a 1 0 0 0 5 r"));
+    CHECK_FALSE(decode_terms("1 1 0 0 0 -5 r"));
+}
+
+TEST_CASE("verdicts survive the way between nodes") {
+    attempt_refusal refused;
+    refused.reason = refusal::overload;
+    refused.reached_target = true;
+    refused.retry_after = 250ms;
+    const auto read = decode_verdict(encode_verdict(refused));
+    REQUIRE(read.has_value());
+    const auto& back = std::get<attempt_refusal>(*read);
+    CHECK(back.reason == refusal::overload);
+    CHECK(back.reached_target);
+    CHECK(back.retry_after == 250ms);
+    const auto failed = decode_verdict(encode_verdict(attempt_failure{attempt_problem::bad_answer}));
+    CHECK(std::get<attempt_failure>(*failed).problem == attempt_problem::bad_answer);
+    CHECK_FALSE(decode_verdict("not_run nonsense 0 0"));
+}
+
+TEST_CASE("a target's word that it has not run a request is a refusal") {
+    const auto fields = make_fields();
+    const auto judged = judge_target_answer(fields, repeatability::at_most_once,
+                                            reply_of(503, {{"not-executed", "1"}}));
+    REQUIRE(std::holds_alternative<attempt_refusal>(judged));
+    CHECK(std::get<attempt_refusal>(judged).reached_target);
+    CHECK(std::holds_alternative<attempt_refusal>(
+        judge_target_answer(fields, repeatability::at_most_once, reply_of(421, {}))));
+}
+
+TEST_CASE("a promise without the target's word is not passed on for what must not be repeated") {
+    const auto fields = make_fields();
+    for (const int status : {408, 429, 503}) {
+        CHECK(std::holds_alternative<attempt_failure>(judge_target_answer(
+            fields, repeatability::at_most_once, reply_of(status, {{"stamp", "x"}}))));
+    }
+}
+
+TEST_CASE("a success without the target's stamp, or with an encoding, is not the target's") {
+    const auto fields = make_fields();
+    CHECK(std::holds_alternative<attempt_failure>(
+        judge_target_answer(fields, repeatability::idempotent, reply_of(200, {}))));
+    CHECK(std::holds_alternative<attempt_failure>(judge_target_answer(
+        fields, repeatability::idempotent,
+        reply_of(200, {{"stamp", "x"}, {"content-encoding", "gzip"}}))));
+    CHECK(std::holds_alternative<attempt_reply>(judge_target_answer(
+        fields, repeatability::idempotent, reply_of(200, {{"stamp", "x"}}))));
+}
+
+TEST_CASE("refused callers come back spread out, the important ones first") {
+    random_source random(1);
+    duration highest{0};
+    duration lowest{3600s};
+    duration sum_important{0};
+    duration sum_less{0};
+    for (int i = 0; i < 500; ++i) {
+        const auto important = retry_time(400ms, 0, random);
+        highest = std::max(highest, important);
+        lowest = std::min(lowest, important);
+        sum_important += important;
+        sum_less += retry_time(400ms, 3, random);
+    }
+    CHECK(highest - lowest > 200ms);
+    CHECK(sum_important < sum_less);
+    CHECK(lowest >= 300ms);
+}
--- /dev/null
+++ b/libs/traffic/tests/allowance_test.cpp
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include <trefoil/base/random.hpp>
+#include <trefoil/traffic/call_tree.hpp>
+#include <trefoil/traffic/downstream_level.hpp>
+#include <trefoil/traffic/repeat_allowance.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+const service_name service("s");
+constexpr fleet_repeat_bound bound{0.2, 10s, 40};
+
+} // namespace
+
+TEST_CASE("nodes that repeat all they may stay within the bound together") {
+    constexpr std::size_t nodes = 12;
+    std::vector<repeat_allowance> fleet(nodes, repeat_allowance(bound));
+    for (auto& node : fleet) {
+        node.set_nodes(nodes);
+    }
+    random_source random(3);
+    std::vector<time_point> requests;
+    std::vector<time_point> repeats;
+    for (int i = 0; i < 40'000; ++i) {
+        const time_point now(1000s + i * 1ms);
+        auto& node = fleet[random.below(nodes)];
+        node.requested(now, service);
+        requests.push_back(now);
+        if (node.take(now, service)) {
+            repeats.push_back(now);
+        }
+    }
+    const auto count = [](const std::vector<time_point>& all, time_point from) {
+        return std::count_if(all.begin(), all.end(),
+                             [&](time_point at) { return at >= from && at < from + 10s; });
+    };
+    for (int start = 0; start < 30; ++start) {
+        const time_point from(1000s + start * 1s);
+        const double allowed = bound.ratio * static_cast<double>(count(requests, from)) + bound.slack;
+        CHECK(static_cast<double>(count(repeats, from)) <= allowed);
+    }
+    CHECK(repeats.size() > requests.size() / 10);
+}
+
+TEST_CASE("repeats made further up use the allowance") {
+    repeat_allowance node(bound);
+    const time_point now(1000s);
+    for (int i = 0; i < 100; ++i) {
+        node.requested(now, service);
+        node.repeated_above(now, service);
+    }
+    CHECK_FALSE(node.take(now, service));
+}
+
+TEST_CASE("a repeat that reached no target is given back") {
+    repeat_allowance node({0, 10s, 2});
+    const time_point now(1000s);
+    CHECK(node.take(now, service));
+    CHECK_FALSE(node.take(now, service));
+    node.give_back(now, service);
+    CHECK(node.take(now, service));
+}
+
+TEST_CASE("the window forgets") {
+    repeat_allowance node({0, 10s, 2});
+    CHECK(node.take(time_point(1000s), service));
+    CHECK_FALSE(node.take(time_point(1009s), service));
+    CHECK(node.take(time_point(1011s), service));
+}
+
+TEST_CASE("all calls of a whole request have one share") {
+    CHECK(share_of("ab12") == share_of("ab12.77"));
+    CHECK(share_of("ab12") == share_of("ab12.77.88"));
+    CHECK_FALSE(parent_of("ab12").has_value());
+    CHECK(parent_of("ab12.77.88") == "ab12.77");
+}
+
+TEST_CASE("the level falls with refused calls and rises again") {
+    downstream_level level;
+    time_point now(1000s);
+    CHECK(level.admits(now, "r", 2, share_count - 1));
+    for (int window = 0; window < 10; ++window) {
+        for (int i = 0; i < 10; ++i) {
+            level.began(now, "r", 2);
+            level.call_refused(now, "r", 2);
+        }
+        now += 100ms;
+    }
+    CHECK(level.level(now, "r", 2) < 0.1);
+    CHECK_FALSE(level.admits(now, "r", 2, share_count / 2));
+    CHECK(level.admits(now, "r", 2, 0));
+    CHECK(level.admits(now, "r", 0, share_count - 1));
+    CHECK(level.admits(now, "other", 2, share_count - 1));
+    now += 10s;
+    CHECK(level.admits(now, "r", 2, share_count - 1));
+}
+
+// A deep service has room for half of the calls; each whole request makes five. Requests are ordered
+// by share at the deep service, as the gate does.
+TEST_CASE("with half of the room below, nearly half of the whole requests finish") {
+    downstream_level level;
+    random_source random(11);
+    time_point now(1000s);
+    constexpr int calls_each = 5;
+    constexpr int offered = 100;
+    constexpr int room = offered * calls_each / 2;
+    int finished = 0;
+    int begun = 0;
+    for (int second = 0; second < 200; ++second, now += 100ms) {
+        std::vector<std::uint32_t> admitted;
+        for (int i = 0; i < offered; ++i) {
+            const auto share = static_cast<std::uint32_t>(random.below(share_count));
+            if (level.admits(now, "r", 2, share)) {
+                level.began(now, "r", 2);
+                admitted.push_back(share);
+            }
+        }
+        std::sort(admitted.begin(), admitted.end());
+        const auto fits = std::min<std::size_t>(admitted.size(), room / calls_each);
+        for (std::size_t i = fits; i < admitted.size(); ++i) {
+            level.call_refused(now, "r", 2);
+        }
+        if (second >= 100) {
+            begun += static_cast<int>(admitted.size());
+            finished += static_cast<int>(fits);
+        }
+    }
+    CHECK(finished > 100 * offered * 0.4);
+    CHECK(finished > begun * 0.85);
+}
