--- a/libs/traffic/include/trefoil/traffic/downstream_level.hpp
+++ b/libs/traffic/include/trefoil/traffic/downstream_level.hpp
@@ -12,10 +12,10 @@
 
 /// For each kind of run at one target, the shares of whole requests that are admitted. Answers a
 /// deep service that is short of room: if each of a request's calls were refused at random, hardly
-/// any whole request would finish. The level falls in proportion to the runs that had a call
-/// refused for want of room and rises slowly while none has (additive increase, multiplicative
-/// decrease); as all nodes order requests by the same shares, those admitted here are those that
-/// find room below.
+/// any whole request would finish. The level falls in proportion to the runs that had a call refused
+/// for want of room and rises while none has (additive increase, multiplicative decrease), faster
+/// the longer, so that service is normal soon after a shortage. As all nodes order requests by the
+/// same shares, those admitted here are those that find room below.
 class downstream_level {
 public:
     /// A run of the route begins, for a whole request of this priority.
@@ -35,8 +35,11 @@
     using key = std::pair<std::string, std::uint32_t>;
 
     static constexpr duration window = 100ms;
-    /// Added for each window without a refusal.
-    static constexpr double rise = 0.015;
+    /// Added for a window without a refusal.
+    static constexpr double rise = 0.02;
+    /// Windows without a refusal after which each adds more than the one before. Refusals are heard
+    /// of when a run's last calls are made, which is later than its begin.
+    static constexpr std::int64_t patient_windows = 5;
     /// Part of the share of refused runs by which the level falls.
     static constexpr double fall = 0.5;
     static constexpr double lowest = 0.05;
@@ -48,10 +51,12 @@
         time_point window_began;
         std::uint32_t began = 0;
         std::uint32_t refused = 0;
+        /// Windows since the last with a refusal.
+        std::int64_t clean_windows = 0;
     };
 
     state& present(time_point now, const std::string& route, std::uint32_t priority);
-    static void close_window(state& at, std::int64_t windows);
+    static void close_windows(state& at, std::int64_t count);
 
     std::map<key, state> states_;
 };
--- a/libs/traffic/src/downstream_level.cpp
+++ b/libs/traffic/src/downstream_level.cpp
@@ -11,7 +11,7 @@
     auto& at = states_[{route, priority}];
     const auto passed = (now - at.window_began) / window;
     if (passed > 0) {
-        close_window(at, passed);
+        close_windows(at, passed);
         at.window_began = now;
         at.began = 0;
         at.refused = 0;
@@ -19,14 +19,19 @@
     return at;
 }
 
-void downstream_level::close_window(state& at, std::int64_t windows) {
+void downstream_level::close_windows(state& at, std::int64_t count) {
     if (at.refused > 0) {
         const double refused_share =
             std::min(1.0, at.refused / std::max<double>(at.began, least_runs));
-        at.level *= 1 - fall * refused_share;
-        --windows;
+        at.level = std::max(at.level * (1 - fall * refused_share), lowest);
+        at.clean_windows = 0;
+        --count;
+    }
+    while (count-- > 0 && at.level < 1) {
+        ++at.clean_windows;
+        const auto steps = std::max<std::int64_t>(at.clean_windows - patient_windows, 0) + 1;
+        at.level = std::min(at.level + rise * static_cast<double>(steps), 1.0);
     }
-    at.level = std::clamp(at.level + rise * static_cast<double>(windows), lowest, 1.0);
 }
 
 void downstream_level::began(time_point now, const std::string& route, std::uint32_t priority) {
--- a/libs/traffic/tests/allowance_test.cpp
+++ b/libs/traffic/tests/allowance_test.cpp
@@ -95,7 +95,7 @@
     CHECK(level.admits(now, "r", 2, 0));
     CHECK(level.admits(now, "r", 0, share_count - 1));
     CHECK(level.admits(now, "other", 2, share_count - 1));
-    now += 10s;
+    now += 2s;
     CHECK(level.admits(now, "r", 2, share_count - 1));
 }
 
