Weigh bytes between failure domains higher when placing

Cause: an instance that was half as fast lost most of its requests to other failure domains although it met the target latency.

--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// Cost of leaving the own failure domain, as a part of the target latency.
-constexpr double other_domain_cost = 0.2;
+constexpr double other_domain_cost = 0.4;
 /// Share of requests that go to a random instance.
-constexpr double exploring_share = 0.02;
+constexpr double exploring_share = 0.01;
 /// Weight of the newest time in a mean.
 constexpr double newest_weight = 1.0 / 12;
 /// A learnt time that is not confirmed loses half of its distance from the best in this time.
