Let callers that come back go ahead of new ones of their priority

Cause: callers refused once came back under a new id and met the same chance of refusal; a second refusal is their last.

--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -111,7 +111,7 @@
     give_up_at_ = arrived_ + std::min(left.value_or(route_->timeout), route_->timeout);
     service_ = state_.rotation.next(*route_);
     state_.repeats.requested(arrived_, service_);
-    read_place_in_tree();
+    read_place_in_tree(left.value_or(route_->timeout));
     headers_ = end_to_end(head.headers);
     std::erase_if(headers_, [&](const http_header& field) {
         return is_peer_field(field.name) || field.name == fields.expected_instance;
@@ -120,14 +120,20 @@
     return true;
 }
 
-void outbound_call::read_place_in_tree() {
+void outbound_call::read_place_in_tree(duration time_left) {
     parent_ = parent_of(request_id_);
     priority_ = route_->priority;
-    const auto* above = parent_ ? state_.gate.terms_of_run(*parent_) : nullptr;
+    share_ = share_of(request_id_);
+    if (!parent_) {
+        share_ = state_.returning.place(arrived_, route_->name, share_, time_left);
+        return;
+    }
+    const auto* above = state_.gate.terms_of_run(*parent_);
     if (above == nullptr) {
         return;
     }
     priority_ = above->priority;
+    share_ = above->share;
     is_in_repeat_ = above->is_repeat;
     if (is_in_repeat_) {
         state_.repeats.repeated_above(arrived_, service_);
@@ -198,7 +204,7 @@
     run_terms terms;
     terms.route = route_->name;
     terms.priority = priority_;
-    terms.share = share_of(request_id_);
+    terms.share = share_;
     terms.is_nested = parent_.has_value();
     terms.is_repeat = is_in_repeat_ || reached_targets_ > 1;
     terms.repeats = route_->repeats;
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -48,7 +48,7 @@
 
     void start();
     bool read_terms();
-    void read_place_in_tree();
+    void read_place_in_tree(duration time_left);
     void arm_timer();
     void body_arrived();
     void send_more_body();
@@ -89,6 +89,7 @@
     /// The request during which the own target made this call.
     std::optional<std::string> parent_;
     std::uint32_t priority_ = 0;
+    std::uint32_t share_ = 0;
     bool is_in_repeat_ = false;
     time_point arrived_;
     time_point give_up_at_;
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -13,6 +13,7 @@
 #include <trefoil/traffic/instance_directory.hpp>
 #include <trefoil/traffic/placement.hpp>
 #include <trefoil/traffic/repeat_allowance.hpp>
+#include <trefoil/traffic/returning_callers.hpp>
 #include <trefoil/traffic/route_table.hpp>
 #include <trefoil/traffic/weighted_rotation.hpp>
 
@@ -48,6 +49,7 @@
     placement places;
     repeat_allowance repeats;
     weighted_rotation rotation;
+    returning_callers returning;
     http1::client peers;
     target_gate gate;
     random_source random;
--- a/libs/traffic/tests/allowance_test.cpp
+++ b/libs/traffic/tests/allowance_test.cpp
@@ -6,6 +6,7 @@
 #include <trefoil/traffic/call_tree.hpp>
 #include <trefoil/traffic/downstream_level.hpp>
 #include <trefoil/traffic/repeat_allowance.hpp>
+#include <trefoil/traffic/returning_callers.hpp>
 #include <trefoil/traffic/usable_slots.hpp>
 
 using namespace trefoil;
@@ -57,6 +58,24 @@
     CHECK_FALSE(node.take(now, service));
 }
 
+TEST_CASE("a caller that comes back goes ahead of new ones") {
+    returning_callers callers;
+    const time_point now(1000s);
+    CHECK(callers.place(now, "r", 100, 5s) == 100);
+    CHECK(callers.place(now, "r", 100, 4990ms) == 100);
+    CHECK(callers.place(now, "r", 100, 4s) == 25);
+    CHECK(callers.place(now, "other", 100, 4s) == 100);
+}
+
+TEST_CASE("a route whose callers wait less than before has no returning callers for long") {
+    returning_callers callers;
+    time_point now(1000s);
+    callers.place(now, "r", 100, 5s);
+    now += 11s;
+    CHECK(callers.place(now, "r", 100, 2s) == 100);
+    CHECK(callers.place(now, "r", 100, 2s) == 100);
+}
+
 TEST_CASE("one slot in twenty is left free") {
     CHECK(usable_slots(1) == 1);
     CHECK(usable_slots(2) == 1);
