Hold back first legs only, and say in a failure that room was short below

Cause: levels at every layer refused calls of requests that had cost work at the layers above; each layer's level answered the one below with a delay. Change: only a request of a caller meets the level; a target's failure says on its way up whether a call of its run found no room, so that the level at the first leg hears of it directly. The level rises less in a lasting shortage (the share of runs that fail in balance is what it rises by over what it falls by) and still reaches all within 2 s.

--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -15,6 +15,15 @@
 
 namespace trefoil {
 
+/// What is known of the calls that a target made while it ran a request that it then failed.
+enum class failure_below : std::uint8_t {
+    /// It made none that failed.
+    none,
+    failed,
+    /// One was refused for want of room, here or further down.
+    no_room,
+};
+
 /// A target's answer, its head and the first bytes of its body.
 struct attempt_reply {
     http1::response_head head;
@@ -22,8 +31,7 @@
     /// True if the body is whole; otherwise pieces follow until message_end or attempt_failure.
     bool is_complete = false;
     std::optional<load_report> load;
-    /// True for a failure during which a call of the target's own had failed.
-    bool failed_below = false;
+    failure_below below = failure_below::none;
 };
 
 /// The request has not run and will not because of this attempt.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -116,8 +116,9 @@
         overloaded{[&](attempt_reply& reply) {
                        const bool is_complete = reply.is_complete;
                        auto extra = load_header();
-                       if (reply.failed_below) {
-                           extra.push_back({std::string(below_field), "1"});
+                       if (reply.below != failure_below::none) {
+                           extra.push_back(
+                               {std::string(below_field), std::string(encode_below(reply.below))});
                        }
                        relay_.emplace(request_);
                        relay_->begin(std::move(reply), extra);
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -375,7 +375,8 @@
     note_placement(*at, is_error ? attempt_result::answered_error : attempt_result::answered,
                    reply.load);
     const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
-                                    reply.head.status != 504 && !reply.failed_below && !fallback_;
+                                    reply.head.status != 504 &&
+                                    reply.below == failure_below::none && !fallback_;
     if (!is_worth_repeating) {
         deliver(at, std::move(reply));
         return;
@@ -390,6 +391,7 @@
 void outbound_call::deliver(tries::iterator at, attempt_reply reply) {
     const auto status = reply.head.status;
     const bool is_complete = reply.is_complete;
+    below_ = reply.below;
     tries chosen;
     chosen.splice(chosen.begin(), tries_, at);
     drop_tries();
@@ -492,7 +494,8 @@
     }
     const bool was_shed_by_target = last_refusal_reached_target_;
     const bool for_want_of_room =
-        (how == call_end::refused && !was_shed_by_target) || how == call_end::timed_out;
+        (how == call_end::refused && !was_shed_by_target) || how == call_end::timed_out ||
+        (how == call_end::target_error && below_ == failure_below::no_room);
     state_.gate.call_failed(*parent_, for_want_of_room);
 }
 
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -113,6 +113,7 @@
     duration retry_after_{0};
     std::string last_problem_;
 
+    failure_below below_ = failure_below::none;
     std::optional<reply_relay> relay_;
     bool is_over_ = false;
     uv_timer_s* timer_;
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -72,7 +72,7 @@
     /// Separates the target's answers from those that the peer made itself.
     static attempt_event judge(attempt_reply reply) {
         reply.load = decode_load(find_header(reply.head.headers, load_field));
-        reply.failed_below = !find_header(reply.head.headers, below_field).empty();
+        reply.below = decode_below(find_header(reply.head.headers, below_field));
         const auto text = find_header(reply.head.headers, verdict_field);
         if (text.empty()) {
             std::erase_if(reply.head.headers,
--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -50,6 +50,8 @@
 
 constexpr std::string_view not_run = "not_run";
 constexpr std::string_view unknown = "unknown";
+constexpr std::string_view below_failed = "failed";
+constexpr std::string_view below_no_room = "no_room";
 
 } // namespace
 
@@ -88,6 +90,17 @@
     return terms;
 }
 
+std::string_view encode_below(failure_below below) {
+    return below == failure_below::no_room ? below_no_room : below_failed;
+}
+
+failure_below decode_below(std::string_view text) {
+    if (text.empty()) {
+        return failure_below::none;
+    }
+    return text == below_no_room ? failure_below::no_room : failure_below::failed;
+}
+
 std::string encode_load(const load_report& load) {
     return fmt::format("{} {} {}", load.in_flight, load.queued, load.limit);
 }
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -101,7 +101,9 @@
     void start() {
         started_ = gate_.now();
         gate_.running_[request_.request_id] = this;
-        gate_.downstream_.began(started_, request_.terms.route, request_.terms.priority);
+        if (!request_.terms.is_nested) {
+            gate_.downstream_.began(started_, request_.terms.route, request_.terms.priority);
+        }
         const auto waited = started_ - arrived_;
         const auto left = std::max<duration>(request_.terms.remaining - waited, 1ms);
         set_header(
@@ -130,12 +132,15 @@
     const run_terms& terms() const { return request_.terms; }
 
     void call_failed(bool for_want_of_room) {
-        if (for_want_of_room && !had_call_refused_) {
-            had_call_refused_ = true;
+        if (!for_want_of_room) {
+            below_ = std::max(below_, failure_below::failed);
+            return;
+        }
+        if (below_ != failure_below::no_room && !request_.terms.is_nested) {
             gate_.downstream_.call_refused(gate_.now(), request_.terms.route,
                                            request_.terms.priority);
         }
-        had_call_failed_ = true;
+        below_ = failure_below::no_room;
     }
 
     /// The gate's maker is told of the refusal by submit() itself.
@@ -170,7 +175,7 @@
     void judge(attempt_reply reply) {
         const bool is_complete = reply.is_complete;
         const bool is_error = reply.head.status >= 500;
-        reply.failed_below = is_error && had_call_failed_;
+        reply.below = is_error ? below_ : failure_below::none;
         auto judged = judge_target_answer(gate_.fields_, request_.terms.repeats, std::move(reply));
         if (auto* refused = std::get_if<attempt_refusal>(&judged)) {
             // Fewer requests than the target's slots were handed to it, so that it does not refuse
@@ -214,8 +219,7 @@
     std::unique_ptr<http1::exchange> exchange_;
     reply_collector collector_;
     bool is_over_ = false;
-    bool had_call_failed_ = false;
-    bool had_call_refused_ = false;
+    failure_below below_ = failure_below::none;
 };
 
 target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields)
@@ -239,7 +243,8 @@
     const call_id call{next_call_++};
     const auto position = position_of(request.terms);
     const auto& terms = request.terms;
-    if (!downstream_.admits(now(), terms.route, terms.priority, terms.share)) {
+    // A nested call has cost its whole request work already, so only the first leg is held back.
+    if (!terms.is_nested && !downstream_.admits(now(), terms.route, terms.priority, terms.share)) {
         return refused(refusal::chain_level, position);
     }
     admission_request offered;
--- a/libs/traffic/include/trefoil/traffic/downstream_level.hpp
+++ b/libs/traffic/include/trefoil/traffic/downstream_level.hpp
@@ -36,10 +36,12 @@
 
     static constexpr duration window = 100ms;
     /// Added for a window without a refusal.
-    static constexpr double rise = 0.02;
+    static constexpr double rise = 0.008;
     /// Windows without a refusal after which each adds more than the one before. Refusals are heard
     /// of when a run's last calls are made, which is later than its begin.
-    static constexpr std::int64_t patient_windows = 5;
+    static constexpr std::int64_t patient_windows = 10;
+    /// Steps that each window after those adds to the one before.
+    static constexpr std::int64_t steps_per_window = 3;
     /// Part of the share of refused runs by which the level falls.
     static constexpr double fall = 0.5;
     static constexpr double lowest = 0.05;
--- a/libs/traffic/src/downstream_level.cpp
+++ b/libs/traffic/src/downstream_level.cpp
@@ -29,7 +29,8 @@
     }
     while (count-- > 0 && at.level < 1) {
         ++at.clean_windows;
-        const auto steps = std::max<std::int64_t>(at.clean_windows - patient_windows, 0) + 1;
+        const auto impatient = std::max<std::int64_t>(at.clean_windows - patient_windows, 0);
+        const auto steps = impatient * steps_per_window + 1;
         at.level = std::min(at.level + rise * static_cast<double>(steps), 1.0);
     }
 }
