Test the whole path over loopback; one timer type for the loop

Two proxies with their targets in one process and a registry in memory: fields, leaving targets, repeats, refusals, timeouts, clients that go away, versions. The timer's six copies are one class; the node closes its signal handles.

--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -9,6 +9,7 @@
 
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/message_parser.hpp>
 #include <trefoil/http1/tcp_stream.hpp>
 
@@ -133,19 +134,13 @@
     running(std::shared_ptr<impl> pool, std::shared_ptr<connection> used, handler on_event,
             body_end framing)
         : pool_(std::move(pool)), connection_(std::move(used)), on_event_(std::move(on_event)),
-          framing_(framing) {
-        uv_timer_init(pool_->loop_, timer());
-        timer_->data = this;
-    }
+          framing_(framing), timer_(pool_->loop_, [this] { check_connected(); }) {}
 
     ~running() override {
         if (connection_ != nullptr) {
             connection_->user_ = nullptr;
             connection_->stream_.reset();
         }
-        uv_timer_stop(timer());
-        uv_close(reinterpret_cast<uv_handle_t*>(timer_),
-                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
     }
 
     void begin(const std::string& head_bytes, std::string_view body, bool is_complete,
@@ -157,10 +152,7 @@
         }
         is_body_done_ = is_complete;
         if (!connection_->stream_->is_connected()) {
-            uv_timer_start(
-                timer(),
-                [](uv_timer_t* timer) { static_cast<running*>(timer->data)->check_connected(); },
-                static_cast<std::uint64_t>(connect_timeout.count()), 0);
+            timer_.start(connect_timeout);
         }
         connection_->stream_->write(std::move(bytes));
     }
@@ -211,7 +203,6 @@
     std::shared_ptr<connection> release() { return std::exchange(connection_, nullptr); }
 
 private:
-    uv_timer_t* timer() { return timer_; }
     bool has_stream() const { return connection_ != nullptr && connection_->stream_ != nullptr; }
 
     void check_connected() {
@@ -242,7 +233,7 @@
     std::shared_ptr<connection> connection_;
     handler on_event_;
     body_end framing_;
-    uv_timer_t* timer_ = new uv_timer_t;
+    loop_timer timer_;
     bool is_body_done_ = false;
 };
 
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 
 #include <fmt/format.h>
-#include <uv.h>
 
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
@@ -64,16 +63,11 @@
 }
 
 outbound_call::outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
-    : state_(state), request_(std::move(request)), arrived_(state.now()), timer_(new uv_timer_t) {
-    uv_timer_init(state_.loop, timer_);
-    timer_->data = this;
-}
-
-outbound_call::~outbound_call() {
-    uv_timer_stop(timer_);
-    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
-}
+    : state_(state), request_(std::move(request)), arrived_(state.now()),
+      timer_(state.loop, [this] {
+          const auto self = shared_from_this();
+          time_out();
+      }) {}
 
 void outbound_call::start() {
     state_.last_request = arrived_;
@@ -82,7 +76,7 @@
     if (!read_terms()) {
         return;
     }
-    arm_timer();
+    timer_.start(give_up_at_ - state_.now());
     const auto self = shared_from_this();
     request_->set_handlers({[self] { self->body_arrived(); }, [self] { self->client_gone(); },
                             [self] {
@@ -140,17 +134,6 @@
     }
 }
 
-void outbound_call::arm_timer() {
-    const auto wait = std::max<duration>(give_up_at_ - state_.now(), 0ms);
-    uv_timer_start(
-        timer_,
-        [](uv_timer_t* timer) {
-            const auto self = static_cast<outbound_call*>(timer->data)->shared_from_this();
-            self->time_out();
-        },
-        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count()), 0);
-}
-
 void outbound_call::body_arrived() {
     if (is_over_) {
         return;
@@ -502,7 +485,7 @@
 void outbound_call::end(call_end how, int status, std::string_view cause) {
     const auto self = shared_from_this();
     is_over_ = true;
-    uv_timer_stop(timer_);
+    timer_.stop();
     tell_parent(how);
     const auto took = elapsed();
     if (how == call_end::served && route_->target_latency > duration{0} &&
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
 #include <trefoil/traffic/call_tree.hpp>
 #include <trefoil/traffic/placement.hpp>
@@ -18,8 +19,6 @@
 #include "proxy_state.hpp"
 #include "reply_relay.hpp"
 
-struct uv_timer_s;
-
 namespace trefoil {
 
 /// Finds the route, sends the request to one instance after another as far as its kind and the
@@ -30,7 +29,6 @@
     static void serve(proxy_state& state, std::shared_ptr<http1::served_request> request);
 
     outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request);
-    ~outbound_call();
     outbound_call(const outbound_call&) = delete;
     outbound_call& operator=(const outbound_call&) = delete;
 
@@ -49,7 +47,6 @@
     void start();
     bool read_terms();
     void read_place_in_tree(duration time_left);
-    void arm_timer();
     void body_arrived();
     void send_more_body();
     void client_gone();
@@ -116,7 +113,8 @@
     failure_below below_ = failure_below::none;
     std::optional<reply_relay> relay_;
     bool is_over_ = false;
-    uv_timer_s* timer_;
+    /// Ends the wait at the route's timeout or the caller's deadline.
+    http1::loop_timer timer_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -3,11 +3,13 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <vector>
 
 #include <fmt/format.h>
 #include <uv.h>
 
 #include <trefoil/base/hash.hpp>
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
 
 #include "inbound_call.hpp"
@@ -20,7 +22,7 @@
 namespace {
 
 /// Time between two runs of the housekeeping.
-constexpr std::uint64_t housekeeping_ms = 250;
+constexpr duration housekeeping_interval = 250ms;
 /// Housekeeping runs between two looks at the settings and at idle connections.
 constexpr std::uint64_t slow_housekeeping_runs = 4;
 /// A stopping node serves callers for so long at least, since they learn of it by its readiness.
@@ -72,10 +74,17 @@
         : seed_(seed_of(settings)), state_(loop, std::move(settings), seed_),
           sources_(std::move(sources)),
           config_(state_, *sources_.registry, registry_topic::config, seed_ + 2),
-          instances_(state_, *sources_.registry, registry_topic::instances, seed_ + 3) {
-        uv_timer_init(loop, &housekeeping_);
-        housekeeping_.data = this;
+          instances_(state_, *sources_.registry, registry_topic::instances, seed_ + 3),
+          housekeeping_(loop, [this] { keep_house(); }) {}
+
+    ~impl() {
+        for (auto* handle : signals_) {
+            uv_close(reinterpret_cast<uv_handle_t*>(handle),
+                     [](uv_handle_t* closed) { delete reinterpret_cast<uv_signal_t*>(closed); });
+        }
     }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     absl::Status open() {
         const auto& settings = state_.settings;
@@ -104,10 +113,7 @@
         watch_signal(SIGTERM, [](uv_signal_t* handle, int) { self(handle).stop(); });
         watch_signal(SIGINT, [](uv_signal_t* handle, int) { self(handle).stop(); });
         watch_signal(SIGHUP, [](uv_signal_t* handle, int) { self(handle).reload(); });
-        uv_timer_start(
-            &housekeeping_,
-            [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->keep_house(); },
-            housekeeping_ms, housekeeping_ms);
+        housekeeping_.start_repeating(housekeeping_interval);
         config_.start();
         instances_.start();
         note_start();
@@ -129,10 +135,11 @@
     static impl& self(uv_signal_t* handle) { return *static_cast<impl*>(handle->data); }
 
     void watch_signal(int number, uv_signal_cb callback) {
-        auto& handle = signals_.at(signal_count_++);
-        uv_signal_init(state_.loop, &handle);
-        handle.data = this;
-        uv_signal_start(&handle, callback, number);
+        auto* handle = new uv_signal_t;
+        signals_.push_back(handle);
+        uv_signal_init(state_.loop, handle);
+        handle->data = this;
+        uv_signal_start(handle, callback, number);
     }
 
     void serve_caller(std::shared_ptr<http1::served_request> request) {
@@ -316,9 +323,8 @@
     std::unique_ptr<http1::server> peers_;
     std::unique_ptr<http1::server> ready_;
     std::unique_ptr<http1::server> metrics_;
-    uv_timer_t housekeeping_{};
-    std::array<uv_signal_t, 3> signals_{};
-    std::size_t signal_count_ = 0;
+    http1::loop_timer housekeeping_;
+    std::vector<uv_signal_t*> signals_;
     std::uint64_t runs_ = 0;
     std::uint64_t limits_version_ = 0;
     time_point last_run_;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -1,7 +1,5 @@
 #include "registry_view.hpp"
 
-#include <uv.h>
-
 #include <trefoil/base/overloaded.hpp>
 
 namespace trefoil {
@@ -30,15 +28,8 @@
 
 registry_view::registry_view(proxy_state& state, registry_client& client, registry_topic topic,
                              std::uint64_t seed)
-    : state_(state), client_(client), topic_(topic), follower_(seed), timer_(new uv_timer_t) {
-    uv_timer_init(state.loop, timer_);
-    timer_->data = this;
-}
-
-registry_view::~registry_view() {
-    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
-}
+    : state_(state), client_(client), topic_(topic), follower_(seed),
+      timer_(state.loop, [this] { step(); }) {}
 
 void registry_view::step() {
     std::visit(overloaded{[&](const read_topic&) {
@@ -52,16 +43,10 @@
                                                 finish(std::move(result), false);
                                             });
                           },
-                          [&](const pause_topic& rest) { pause(rest.time); }},
+                          [&](const pause_topic& rest) { timer_.start(rest.time); }},
                follower_.next());
 }
 
-void registry_view::pause(duration time) {
-    uv_timer_start(
-        timer_, [](uv_timer_t* timer) { static_cast<registry_view*>(timer->data)->step(); },
-        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(time).count()), 0);
-}
-
 void registry_view::finish(registry_result result, bool is_full_read) {
     std::visit(overloaded{[&](registry_changes& changes) {
                               const auto revision = changes.revision;
--- a/libs/proxy/src/registry_view.hpp
+++ b/libs/proxy/src/registry_view.hpp
@@ -5,13 +5,12 @@
 #include <string>
 #include <vector>
 
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/proxy/registry.hpp>
 #include <trefoil/proxy/registry_follower.hpp>
 
 #include "proxy_state.hpp"
 
-struct uv_timer_s;
-
 namespace trefoil {
 
 /// Carries out a follower's steps for one topic and applies what they bring.
@@ -19,7 +18,6 @@
 public:
     registry_view(proxy_state& state, registry_client& client, registry_topic topic,
                   std::uint64_t seed);
-    ~registry_view();
     registry_view(const registry_view&) = delete;
     registry_view& operator=(const registry_view&) = delete;
 
@@ -31,7 +29,6 @@
 
 private:
     void step();
-    void pause(duration time);
     void finish(registry_result result, bool is_full_read);
     void apply(registry_changes changes, bool is_full_read);
     void apply_change(registry_change change);
@@ -49,7 +46,8 @@
     bool has_read_ = false;
     bool is_reported_lost_ = false;
     std::int64_t own_started_at_ms_ = 0;
-    uv_timer_s* timer_;
+    /// Ends a pause.
+    http1::loop_timer timer_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -224,15 +224,7 @@
 
 target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields)
     : loop_(loop), target_(std::move(target)), fields_(fields), client_(loop, connection_limits),
-      admission_(gate_settings()), timer_(new uv_timer_t) {
-    uv_timer_init(loop, timer_);
-    timer_->data = this;
-}
-
-target_gate::~target_gate() {
-    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
-}
+      admission_(gate_settings()), timer_(loop, [this] { advance(); }) {}
 
 time_point target_gate::now() const {
     return time_point(std::chrono::milliseconds(uv_now(loop_)));
@@ -315,20 +307,16 @@
         admission_.finished(now(), call, {now() - since, service_end::given_up});
     }
     // Others take the slot from the loop, since this may be called while a handler runs.
-    uv_timer_start(
-        timer_, [](uv_timer_t* timer) { static_cast<target_gate*>(timer->data)->advance(); }, 0, 0);
+    timer_.start(0ms);
 }
 
 void target_gate::arm_timer() {
     const auto next = admission_.next_deadline();
     if (!next) {
-        uv_timer_stop(timer_);
+        timer_.stop();
         return;
     }
-    const auto wait = std::max<duration>(*next - now(), 0ms);
-    uv_timer_start(
-        timer_, [](uv_timer_t* timer) { static_cast<target_gate*>(timer->data)->advance(); },
-        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count()), 0);
+    timer_.start(*next - now());
 }
 
 void target_gate::set_slots(std::uint32_t slots) {
--- a/libs/proxy/src/target_gate.hpp
+++ b/libs/proxy/src/target_gate.hpp
@@ -11,6 +11,7 @@
 #include <trefoil/admission/admission.hpp>
 #include <trefoil/base/endpoint.hpp>
 #include <trefoil/http1/client.hpp>
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/proxy/call_fields.hpp>
 #include <trefoil/traffic/downstream_level.hpp>
 
@@ -18,7 +19,6 @@
 #include "peer_message.hpp"
 
 struct uv_loop_s;
-struct uv_timer_s;
 
 namespace trefoil {
 
@@ -35,7 +35,6 @@
 class target_gate {
 public:
     target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields);
-    ~target_gate();
     target_gate(const target_gate&) = delete;
     target_gate& operator=(const target_gate&) = delete;
 
@@ -82,7 +81,8 @@
     /// Running requests by id, for the calls that they make.
     std::unordered_map<std::string, run*> running_;
     std::uint64_t next_call_ = 1;
-    uv_timer_s* timer_;
+    /// Fires when a waiting request has become too late.
+    http1::loop_timer timer_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -52,7 +52,8 @@
     CHECK(back.reason == refusal::overload);
     CHECK(back.reached_target);
     CHECK(back.retry_after == 250ms);
-    const auto failed = decode_verdict(encode_verdict(attempt_failure{attempt_problem::bad_answer}));
+    const auto failed =
+        decode_verdict(encode_verdict(attempt_failure{attempt_problem::bad_answer}));
     CHECK(std::get<attempt_failure>(*failed).problem == attempt_problem::bad_answer);
     CHECK_FALSE(decode_verdict("not_run nonsense 0 0"));
 }
@@ -79,11 +80,11 @@
     const auto fields = make_fields();
     CHECK(std::holds_alternative<attempt_failure>(
         judge_target_answer(fields, repeatability::idempotent, reply_of(200, {}))));
-    CHECK(std::holds_alternative<attempt_failure>(judge_target_answer(
-        fields, repeatability::idempotent,
-        reply_of(200, {{"stamp", "x"}, {"content-encoding", "gzip"}}))));
-    CHECK(std::holds_alternative<attempt_reply>(judge_target_answer(
-        fields, repeatability::idempotent, reply_of(200, {{"stamp", "x"}}))));
+    CHECK(std::holds_alternative<attempt_failure>(
+        judge_target_answer(fields, repeatability::idempotent,
+                            reply_of(200, {{"stamp", "x"}, {"content-encoding", "gzip"}}))));
+    CHECK(std::holds_alternative<attempt_reply>(
+        judge_target_answer(fields, repeatability::idempotent, reply_of(200, {{"stamp", "x"}}))));
 }
 
 TEST_CASE("refused callers come back spread out, the important ones first") {
--- /dev/null
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -0,0 +1,353 @@
+// Two proxies and their targets in one process, over loopback, with a registry in memory.
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/client.hpp>
+#include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/server.hpp>
+#include <trefoil/proxy/proxy_node.hpp>
+
+using namespace trefoil;
+
+namespace {
+
+const call_fields fields{"id", "time-left", "from", "expected", "not-executed", "stamp"};
+
+std::uint16_t free_port() {
+    static std::uint16_t next = 0;
+    if (next == 0) {
+        next = static_cast<std::uint16_t>(24'000 + getpid() % 8'000);
+    }
+    return next++;
+}
+
+/// The registry's client of one node: reads are answered at once, watches when told.
+class memory_registry : public registry_client {
+public:
+    void read(registry_topic topic, done_handler done) override {
+        pending_.push_back([this, topic, done] { done(registry_changes{items[topic], 1}); });
+    }
+    void watch(registry_topic topic, std::uint64_t, duration, done_handler done) override {
+        watches_[topic] = std::move(done);
+    }
+
+    /// Runs what the node has asked for.
+    void serve() {
+        auto ready = std::move(pending_);
+        pending_.clear();
+        for (const auto& answer : ready) {
+            answer();
+        }
+    }
+
+    void change(registry_topic topic, std::vector<registry_change> changes) {
+        auto done = std::move(watches_[topic]);
+        done(registry_changes{std::move(changes), ++revision_});
+    }
+
+    std::map<registry_topic, std::vector<registry_change>> items;
+
+private:
+    std::vector<std::function<void()>> pending_;
+    std::map<registry_topic, done_handler> watches_;
+    std::uint64_t revision_ = 1;
+};
+
+/// A target that answers by its path and counts what reaches it.
+struct test_target {
+    explicit test_target(uv_loop_t* loop, endpoint where) {
+        auto made = http1::server::listen(
+            loop, where, {}, [this](std::shared_ptr<http1::served_request> request) {
+                requests.push_back(request);
+                request->set_handlers(
+                    {[this, request] { answer(request); }, [this] { ++given_up; }, {}});
+            });
+        REQUIRE(made.ok());
+        listener = std::move(*made);
+    }
+
+    void answer(const std::shared_ptr<http1::served_request>& request) {
+        if (!request->is_body_complete()) {
+            return;
+        }
+        const auto& head = request->head();
+        if (head.target.find("hang") != std::string::npos) {
+            return;
+        }
+        http1::response_head out;
+        const bool sheds = head.target.find("shed") != std::string::npos && is_shedding;
+        out.status = sheds ? 503 : 200;
+        out.reason = "-";
+        out.headers.push_back({"id", std::string(find_header(head.headers, "id"))});
+        if (sheds) {
+            out.headers.push_back({"not-executed", "1"});
+        } else {
+            out.headers.push_back({"stamp", "s"});
+        }
+        request->respond(out, "body of " + head.target + request->take_body());
+    }
+
+    std::unique_ptr<http1::server> listener;
+    std::vector<std::shared_ptr<http1::served_request>> requests;
+    int given_up = 0;
+    bool is_shedding = true;
+};
+
+struct reply {
+    int status = 0;
+    std::string body;
+    std::vector<http_header> headers;
+    bool is_over = false;
+    bool has_failed = false;
+    std::unique_ptr<http1::exchange> running;
+};
+
+/// Two machines; each has a target of the service `s` and a proxy.
+struct two_machines {
+    uv_loop_t loop{};
+    std::uint16_t target_port = free_port();
+    std::uint16_t caller_port = free_port();
+    std::uint16_t peer_port = free_port();
+    std::uint16_t ready_port = free_port();
+    std::uint16_t metrics_port = free_port();
+    std::array<memory_registry*, 2> registries{};
+    std::vector<std::unique_ptr<test_target>> targets;
+    std::vector<std::unique_ptr<proxy_node>> nodes;
+    std::unique_ptr<http1::client> client;
+
+    two_machines() {
+        uv_loop_init(&loop);
+        client = std::make_unique<http1::client>(&loop, http1::client_limits{});
+        for (std::size_t i = 0; i < 2; ++i) {
+            targets.push_back(std::make_unique<test_target>(&loop, endpoint{ip(i), target_port}));
+            auto registry = std::make_unique<memory_registry>();
+            registries[i] = registry.get();
+            registry->items[registry_topic::config] = {config(1)};
+            registry->items[registry_topic::instances] = {instance(0), instance(1)};
+            proxy_sources sources;
+            sources.registry = std::move(registry);
+            sources.reload = [this, i]() -> absl::StatusOr<proxy_settings> { return settings(i); };
+            nodes.push_back(std::make_unique<proxy_node>(&loop, settings(i), std::move(sources)));
+            REQUIRE(nodes[i]->open().ok());
+            registries[i]->serve();
+        }
+    }
+
+    ~two_machines() {
+        nodes.clear();
+        targets.clear();
+        client.reset();
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+    }
+
+    static std::string ip(std::size_t i) { return "127.0.1." + std::to_string(i + 1); }
+
+    proxy_settings settings(std::size_t i) const {
+        proxy_settings made;
+        made.name = "m" + std::to_string(i);
+        made.domain = domain_name("d" + std::to_string(i));
+        made.service = service_name("s");
+        made.target = {ip(i), target_port};
+        made.caller_listener = {ip(i), caller_port};
+        made.peer_listener = {ip(i), peer_port};
+        made.ready_listener = {ip(i), ready_port};
+        made.metrics_listener = {ip(i), metrics_port};
+        made.fields = fields;
+        return made;
+    }
+
+    listed_instance instance(std::size_t i, listed_state state = listed_state::ready) const {
+        listed_instance made;
+        made.id = instance_id("i" + std::to_string(i));
+        made.service = service_name("s");
+        made.target = {ip(i), target_port};
+        made.domain = domain_name("d" + std::to_string(i));
+        made.slots = 4;
+        made.state = state;
+        made.sequence = state == listed_state::ready ? 1 : 2;
+        return made;
+    }
+
+    static traffic_config config(std::uint64_t version) {
+        traffic_config made;
+        made.version = version;
+        for (const auto repeats : {repeatability::idempotent, repeatability::at_most_once}) {
+            route entry;
+            entry.name = repeats == repeatability::idempotent ? "read" : "write";
+            entry.host = "h";
+            entry.path_prefix = "/" + entry.name + "/";
+            entry.repeats = repeats;
+            entry.services = {{service_name("s"), 1}};
+            entry.timeout = 600ms;
+            entry.max_attempts = 2;
+            entry.target_latency = 500ms;
+            made.routes.push_back(entry);
+        }
+        return made;
+    }
+
+    bool run_until(const std::function<bool()>& condition) {
+        const auto end = uv_hrtime() + 8'000'000'000ULL;
+        while (!condition() && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        return condition();
+    }
+
+    void send(reply& into, const std::string& path, std::vector<http_header> headers = {}) {
+        http1::request_head head;
+        head.method = "GET";
+        head.target = path;
+        head.headers = std::move(headers);
+        head.headers.push_back({"host", "h"});
+        head.headers.push_back({"id", "caller-1"});
+        into.running =
+            client->start({ip(0), caller_port}, head, {}, true, {},
+                          [&into](http1::exchange_event event) { take(into, std::move(event)); });
+    }
+
+    static void take(reply& into, http1::exchange_event event) {
+        std::visit(overloaded{[&](const http1::response_head& head) {
+                                  into.status = head.status;
+                                  into.headers = head.headers;
+                              },
+                              [&](const http1::body_piece& piece) { into.body += piece.bytes; },
+                              [&](const http1::message_end&) { into.is_over = true; },
+                              [&](http1::exchange_failure) {
+                                  into.is_over = true;
+                                  into.has_failed = true;
+                              }},
+                   event);
+    }
+
+    reply ask(const std::string& path, std::vector<http_header> headers = {}) {
+        reply got;
+        send(got, path, std::move(headers));
+        REQUIRE(run_until([&] { return got.is_over; }));
+        return got;
+    }
+
+    std::size_t reached(std::size_t i) const { return targets[i]->requests.size(); }
+};
+
+} // namespace
+
+TEST_CASE("a request is served by the target of its own machine with its fields set") {
+    two_machines site;
+    const auto got = site.ask("/read/1?q=2", {{"time-left", "400"},
+                                              {"from", "forged"},
+                                              {"trefoil-terms", "forged"},
+                                              {"x-other", "kept"}});
+    CHECK(got.status == 200);
+    CHECK(got.body == "body of /read/1?q=2");
+    REQUIRE(site.reached(0) == 1);
+    const auto& headers = site.targets[0]->requests[0]->head().headers;
+    CHECK(find_header(headers, "from") == "s");
+    CHECK(find_header(headers, "expected") == "i0");
+    CHECK(find_header(headers, "x-other") == "kept");
+    CHECK(find_header(headers, "trefoil-terms").empty());
+    const auto left = std::stoi(std::string(find_header(headers, "time-left")));
+    CHECK(left <= 400);
+    CHECK(left > 200);
+}
+
+TEST_CASE("a target that leaves gets nothing more; the other machine's takes over") {
+    two_machines site;
+    site.registries[0]->change(registry_topic::instances,
+                               {site.instance(0, listed_state::draining)});
+    for (int i = 0; i < 5; ++i) {
+        CHECK(site.ask("/write/" + std::to_string(i)).status == 200);
+    }
+    CHECK(site.reached(0) == 0);
+    CHECK(site.reached(1) == 5);
+    CHECK(find_header(site.targets[1]->requests[0]->head().headers, "from") == "s");
+}
+
+TEST_CASE("what a target has not run goes to another one, also if it must not be repeated") {
+    two_machines site;
+    site.targets[1]->is_shedding = false;
+    const auto got = site.ask("/write/shed");
+    CHECK(got.status == 200);
+    CHECK(site.reached(0) == 1);
+    CHECK(site.reached(1) == 1);
+}
+
+TEST_CASE("when no target has room the refusal says so and when to come back") {
+    two_machines site;
+    const auto got = site.ask("/write/shed");
+    CHECK(got.status == 503);
+    CHECK_FALSE(find_header(got.headers, "retry-after").empty());
+    CHECK(site.reached(0) + site.reached(1) == 2);
+}
+
+TEST_CASE("a lost connection is repeated for reads and never for what must not be") {
+    two_machines site;
+    site.targets[0]->listener.reset();
+    auto old = site.instance(0);
+    CHECK(site.ask("/read/1").status == 200);
+    CHECK(site.reached(1) == 1);
+    CHECK(site.ask("/write/1").status == 200);
+}
+
+TEST_CASE("a request that may have run is not repeated and not called refused") {
+    two_machines site;
+    reply got;
+    site.send(got, "/write/hang");
+    REQUIRE(site.run_until([&] { return site.reached(0) + site.reached(1) == 1; }));
+    for (auto& target : site.targets) {
+        for (const auto& request : target->requests) {
+            request->abort();
+        }
+    }
+    REQUIRE(site.run_until([&] { return got.is_over; }));
+    CHECK(got.status == 502);
+    CHECK(site.reached(0) + site.reached(1) == 1);
+}
+
+TEST_CASE("the route's timeout ends the wait and the run") {
+    two_machines site;
+    const auto got = site.ask("/read/hang");
+    CHECK(got.status == 504);
+    CHECK(
+        site.run_until([&] { return site.targets[0]->given_up + site.targets[1]->given_up == 1; }));
+}
+
+TEST_CASE("a client that goes away ends the run at the target of another machine") {
+    two_machines site;
+    site.registries[0]->change(registry_topic::instances, {instance_removed{instance_id("i0")}});
+    reply got;
+    site.send(got, "/read/hang");
+    REQUIRE(site.run_until([&] { return site.reached(1) == 1; }));
+    got.running.reset();
+    CHECK(site.run_until([&] { return site.targets[1]->given_up == 1; }));
+}
+
+TEST_CASE("an unknown route is not found; a removed one as soon as its version is in force") {
+    two_machines site;
+    CHECK(site.ask("/none/1").status == 404);
+    auto next = site.config(2);
+    next.routes.pop_back();
+    site.registries[0]->change(registry_topic::config, {next});
+    CHECK(site.ask("/write/1").status == 404);
+    site.registries[0]->change(registry_topic::config, {site.config(1)});
+    CHECK(site.ask("/write/1").status == 404);
+}
+
+TEST_CASE("an item that can't be read leaves the last good one in force") {
+    two_machines site;
+    site.registries[0]->change(registry_topic::config, {unreadable_item{"k", "version: bad", {}}});
+    CHECK(site.ask("/read/1").status == 200);
+}
