Block requests that were running at three deaths of targets

Cause: a request that crashes each target that runs it comes again at any machine; nothing recognised it. The node beside a target looks whether the target has died when connections are lost, and tells every node what ran then; a request that completes is cleared.

--- a/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
+++ b/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
@@ -29,8 +29,6 @@
     endpoint ready_listener;
     /// Serves the metrics.
     endpoint metrics_listener;
-    /// Path by which readiness is asked.
-    std::string ready_path;
     call_fields fields;
     fleet_repeat_bound repeats;
     /// Time between the signal to stop and the end by force.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -27,6 +27,13 @@
     const auto& headers = request_->head().headers;
     const auto& fields = state_.settings.fields;
     request_id_ = std::string(find_header(headers, fields.request_id));
+    const auto notice = find_header(headers, death_field);
+    if (!notice.empty()) {
+        state_.crashes.hear(decode_notice(notice));
+        request_->respond(own_answer(200), {});
+        is_over_ = true;
+        return;
+    }
     const auto terms = decode_terms(find_header(headers, terms_field));
     if (!terms) {
         answer(refused_for(refusal::bad_request));
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -44,6 +44,7 @@
     }
     switch (refused.reason) {
     case refusal::chain_level:
+    case refusal::quarantined:
         return attempt_result::withdrawn;
     case refusal::target_down:
         return attempt_result::failed;
@@ -330,8 +331,9 @@
     if (!tries_.empty()) {
         return;
     }
-    if (refused.reason == refusal::chain_level) {
-        // The shortage lies further down, where all instances of the service meet it.
+    const bool concerns_all_instances =
+        refused.reason == refusal::chain_level || refused.reason == refusal::quarantined;
+    if (concerns_all_instances) {
         conclude();
         return;
     }
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -39,6 +39,9 @@
         }
     }
 
+    /// Tells every other node which requests ran when the own target died.
+    void spread(const death_notice& notice);
+
     uv_loop_s* loop;
     proxy_settings settings;
     log_queue log;
@@ -51,8 +54,12 @@
     weighted_rotation rotation;
     returning_callers returning;
     http1::client peers;
+    crash_watch crashes;
     target_gate gate;
     random_source random;
+    /// Notices on their way, by number.
+    std::map<std::uint64_t, std::unique_ptr<http1::exchange>> notices;
+    std::uint64_t next_notice = 0;
     bool is_stopping = false;
     /// When a request last arrived from this machine.
     time_point last_request;
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -51,6 +51,11 @@
            terms.share;
 }
 
+request_print print_in(const call_fields& fields, const gate_request& request) {
+    const auto caller = find_header(request.head.headers, fields.caller_service);
+    return print_of(request.head.method, request.head.target, caller, request.body);
+}
+
 } // namespace
 
 /// A request that waits for its turn or runs.
@@ -58,7 +63,7 @@
 public:
     run(target_gate& gate, call_id call, gate_request request, attempt_handler on_event)
         : gate_(gate), call_(call), request_(std::move(request)), on_event_(std::move(on_event)),
-          arrived_(gate.now()) {}
+          print_(print_in(gate.fields_, request_)), arrived_(gate.now()) {}
 
     ~run() override {
         gate_.runs_.erase(call_);
@@ -165,6 +170,9 @@
                               },
                               [&](attempt_failure& failed) {
                                   end_run(service_end::errored);
+                                  if (failed.problem == attempt_problem::connection_lost) {
+                                      gate.crashes_.lost(print_);
+                                  }
                                   emit(failed);
                               }},
                    *passed);
@@ -186,6 +194,7 @@
             end_run(service_end::errored);
         } else if (is_complete) {
             end_run(is_error ? service_end::errored : service_end::answered);
+            gate_.crashes_.completed(print_);
         }
         emit(std::move(judged));
     }
@@ -214,6 +223,7 @@
     call_id call_;
     gate_request request_;
     attempt_handler on_event_;
+    request_print print_;
     time_point arrived_;
     time_point started_;
     std::unique_ptr<http1::exchange> exchange_;
@@ -222,9 +232,11 @@
     failure_below below_ = failure_below::none;
 };
 
-target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields)
-    : loop_(loop), target_(std::move(target)), fields_(fields), client_(loop, connection_limits),
-      admission_(gate_settings()), timer_(loop, [this] { advance(); }) {}
+target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields,
+                         crash_watch& crashes)
+    : loop_(loop), target_(std::move(target)), fields_(fields), crashes_(crashes),
+      client_(loop, connection_limits), admission_(gate_settings()),
+      timer_(loop, [this] { advance(); }) {}
 
 time_point target_gate::now() const {
     return time_point(std::chrono::milliseconds(uv_now(loop_)));
@@ -235,6 +247,9 @@
     const call_id call{next_call_++};
     const auto position = position_of(request.terms);
     const auto& terms = request.terms;
+    if (crashes_.is_blocked(print_in(fields_, request))) {
+        return refused(refusal::quarantined, position);
+    }
     // A nested call has cost its whole request work already, so only the first leg is held back.
     if (!terms.is_nested && !downstream_.admits(now(), terms.route, terms.priority, terms.share)) {
         return refused(refusal::chain_level, position);
--- a/libs/proxy/src/target_gate.hpp
+++ b/libs/proxy/src/target_gate.hpp
@@ -16,6 +16,7 @@
 #include <trefoil/traffic/downstream_level.hpp>
 
 #include "attempt.hpp"
+#include "crash_watch.hpp"
 #include "peer_message.hpp"
 
 struct uv_loop_s;
@@ -34,7 +35,7 @@
 /// Queues requests by admission's decisions and runs them over connections that it keeps.
 class target_gate {
 public:
-    target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields);
+    target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields, crash_watch& crashes);
     target_gate(const target_gate&) = delete;
     target_gate& operator=(const target_gate&) = delete;
 
@@ -74,6 +75,7 @@
     uv_loop_s* loop_;
     endpoint target_;
     const call_fields& fields_;
+    crash_watch& crashes_;
     http1::client client_;
     admission admission_;
     downstream_level downstream_;
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "crash_watch.hpp"
 #include "own_answer.hpp"
 #include "peer_message.hpp"
 #include "target_answer.hpp"
@@ -104,3 +105,10 @@
     CHECK(sum_important < sum_less);
     CHECK(lowest >= 300ms);
 }
+
+TEST_CASE("a notice of a death survives the way between nodes") {
+    const death_notice notice{7, {1, 0xabcdef0123456789ULL}};
+    CHECK(decode_notice(encode_notice(notice)) == notice);
+    CHECK(decode_notice("7 x").requests.empty());
+    CHECK(decode_notice("").requests.empty());
+}
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -351,3 +351,24 @@
     site.registries[0]->change(registry_topic::config, {unreadable_item{"k", "version: bad", {}}});
     CHECK(site.ask("/read/1").status == 200);
 }
+
+TEST_CASE("a request that kills each target that runs it is stopped, others are not") {
+    two_machines site;
+    for (int death = 0; death < 3; ++death) {
+        reply got;
+        site.send(got, "/write/hang-and-die");
+        const auto before = site.reached(0);
+        REQUIRE(site.run_until([&] { return site.reached(0) > before; }));
+        // The target dies: its listener and all its connections are gone.
+        site.targets[0]->listener.reset();
+        REQUIRE(site.run_until([&] { return got.is_over; }));
+        const auto wake = uv_hrtime() + 200'000'000ULL;
+        site.run_until([&] { return uv_hrtime() > wake; });
+        site.targets[0] =
+            std::make_unique<test_target>(&site.loop, endpoint{site.ip(0), site.target_port});
+    }
+    const auto got = site.ask("/write/hang-and-die");
+    CHECK(got.status == 503);
+    CHECK(site.reached(0) == 0);
+    CHECK(site.ask("/write/other").status == 200);
+}
--- a/libs/traffic/include/trefoil/traffic/downstream_level.hpp
+++ b/libs/traffic/include/trefoil/traffic/downstream_level.hpp
@@ -12,10 +12,10 @@
 
 /// For each kind of run at one target, the shares of whole requests that are admitted. Answers a
 /// deep service that is short of room: if each of a request's calls were refused at random, hardly
-/// any whole request would finish. The level falls in proportion to the runs that had a call refused
-/// for want of room and rises while none has (additive increase, multiplicative decrease), faster
-/// the longer, so that service is normal soon after a shortage. As all nodes order requests by the
-/// same shares, those admitted here are those that find room below.
+/// any whole request would finish. The level falls in proportion to the runs that had a call
+/// refused for want of room and rises while none has (additive increase, multiplicative decrease),
+/// faster the longer, so that service is normal soon after a shortage. As all nodes order requests
+/// by the same shares, those admitted here are those that find room below.
 class downstream_level {
 public:
     /// A run of the route begins, for a whole request of this priority.
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -84,8 +84,8 @@
     /// Entries, held ones included.
     std::size_t size() const { return entries_.size(); }
 
-    /// Entries of a service.
-    std::size_t count(const service_name& service) const;
+    /// The machines of all entries; one may occur more than once.
+    std::vector<std::string> ips() const;
 
 private:
     struct entry {
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -149,10 +149,12 @@
     return best;
 }
 
-std::size_t instance_directory::count(const service_name& service) const {
-    return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(),
-                      [&](const auto& item) { return item.second.listed.service == service; }));
+std::vector<std::string> instance_directory::ips() const {
+    std::vector<std::string> all;
+    for (const auto& [id, held] : entries_) {
+        all.push_back(held.listed.target.ip);
+    }
+    return all;
 }
 
 void instance_directory::rebuild() {
--- a/libs/traffic/tests/allowance_test.cpp
+++ b/libs/traffic/tests/allowance_test.cpp
@@ -42,7 +42,8 @@
     };
     for (int start = 0; start < 30; ++start) {
         const time_point from(1000s + start * 1s);
-        const double allowed = bound.ratio * static_cast<double>(count(requests, from)) + bound.slack;
+        const double allowed =
+            bound.ratio * static_cast<double>(count(requests, from)) + bound.slack;
         CHECK(static_cast<double>(count(repeats, from)) <= allowed);
     }
     CHECK(repeats.size() > requests.size() / 10);
@@ -127,8 +128,8 @@
     CHECK(level.admits(now, "r", 2, share_count - 1));
 }
 
-// A deep service has room for half of the calls; each whole request makes five. Requests are ordered
-// by share at the deep service, as the gate does.
+// A deep service has room for half of the calls; each whole request makes five. Requests are
+// ordered by share at the deep service, as the gate does.
 TEST_CASE("with half of the room below, nearly half of the whole requests finish") {
     downstream_level level;
     random_source random(11);
