--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -105,7 +105,7 @@
             copy();
         }
     }
-    void emit(std::string bytes);
+    void emit(const std::string& bytes);
 
     std::weak_ptr<connection> owner_;
     request_head head_;
@@ -297,9 +297,11 @@
         }
     }
 
-    /// Answers behind all earlier requests and reads nothing more.
+    /// Answers behind all earlier requests and reads nothing more. A request whose body is at fault
+    /// is with its owner already, so its connection ends without an answer.
     void refuse(int status, std::string reason) {
-        if (latest_unanswered_refused(status, reason)) {
+        if (is_reading_body()) {
+            end();
             return;
         }
         request_head none;
@@ -312,15 +314,11 @@
         made->respond(failure_head(status, std::move(reason)), {});
     }
 
-    /// If the refusal concerns the body of a request that was handed on, it ends that request.
-    bool latest_unanswered_refused(int, const std::string&) {
+    /// True while the body of a request that was handed on is not complete.
+    bool is_reading_body() const {
         const auto latest = latest_.lock();
-        const bool concerns_latest = latest != nullptr && !latest->is_body_complete() &&
-                                     !requests_.empty() && requests_.back() == latest;
-        if (concerns_latest) {
-            end();
-        }
-        return concerns_latest;
+        return latest != nullptr && !latest->is_body_complete() && !requests_.empty() &&
+               requests_.back() == latest;
     }
 
     void close_after_output() {
@@ -426,13 +424,13 @@
     return output_.size() + (owner == nullptr || !is_first_ ? 0 : owner->unsent());
 }
 
-void server::impl::request::emit(std::string bytes) {
+void server::impl::request::emit(const std::string& bytes) {
     const auto owner = owner_.lock();
     if (owner == nullptr) {
         return;
     }
     if (is_first_) {
-        owner->send(std::move(bytes));
+        owner->send(bytes);
     } else {
         output_ += bytes;
     }
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -52,7 +52,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    REQUIRE(bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     socklen_t length = sizeof(address);
     getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
     close(socket);
--- /dev/null
+++ b/libs/proxy/src/finished_call.cpp
@@ -0,0 +1,49 @@
+#include "finished_call.hpp"
+
+#include <fmt/format.h>
+
+namespace trefoil {
+namespace {
+
+log_event event_for(call_end end) {
+    switch (end) {
+    case call_end::served:
+        return log_event::call_served;
+    case call_end::served_late:
+        return log_event::call_served_late;
+    case call_end::refused:
+        return log_event::call_refused;
+    case call_end::abandoned:
+        return log_event::call_abandoned;
+    default:
+        return log_event::call_failed;
+    }
+}
+
+std::string or_dash(const std::string& text) {
+    return text.empty() ? "-" : text;
+}
+
+} // namespace
+
+log_class class_of(call_end end) {
+    const bool is_routine = end == call_end::served || end == call_end::abandoned;
+    return is_routine ? log_class::routine : log_class::trouble;
+}
+
+log_record to_record(const finished_call& call) {
+    return {event_for(call.end),
+            {{"id", or_dash(call.request_id)},
+             {"route", or_dash(call.route)},
+             {"service", or_dash(call.service.str())},
+             {"instance", or_dash(call.instance)},
+             {"end", std::string(name_of(call.end))},
+             {"status", std::to_string(call.status)},
+             {"cause", or_dash(call.cause)},
+             {"tries", std::to_string(call.tries)},
+             {"took_ms", fmt::format("{:.0f}", to_ms(call.took))},
+             {"limit_ms", fmt::format("{:.0f}", to_ms(call.limit))},
+             {"config", std::to_string(call.config_version)}}};
+}
+
+} // namespace trefoil
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -8,6 +8,7 @@
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
 
+#include "finished_call.hpp"
 #include "own_answer.hpp"
 #include "peer_attempt.hpp"
 
@@ -496,39 +497,20 @@
     }
     const bool was_relayed =
         how == call_end::served || how == call_end::served_late || how == call_end::target_error;
-    const std::string instance = tries_.empty() ? "-" : tries_.front().instance.str();
+    const std::string instance = tries_.empty() ? "" : tries_.front().instance.str();
     if (was_relayed) {
         tries_.clear();
     } else {
         drop_tries();
     }
     request_->set_handlers({});
-    const std::string route_name = route_ == nullptr ? "-" : route_->name;
-    state_.metrics.ended(route_name, how, took);
-    const bool is_routine = how == call_end::served || how == call_end::abandoned;
-    state_.note(is_routine ? log_class::routine : log_class::trouble, [&] {
-        log_event event = log_event::call_failed;
-        if (how == call_end::served) {
-            event = log_event::call_served;
-        } else if (how == call_end::served_late) {
-            event = log_event::call_served_late;
-        } else if (how == call_end::refused) {
-            event = log_event::call_refused;
-        } else if (how == call_end::abandoned) {
-            event = log_event::call_abandoned;
-        }
-        return log_record{event,
-                          {{"id", request_id_},
-                           {"route", route_name},
-                           {"service", service_.str()},
-                           {"instance", instance},
-                           {"end", std::string(name_of(how))},
-                           {"status", std::to_string(status)},
-                           {"cause", cause.empty() ? "-" : std::string(cause)},
-                           {"tries", std::to_string(tries_made_)},
-                           {"took_ms", ms_text(took)},
-                           {"limit_ms", ms_text(give_up_at_ - arrived_)},
-                           {"config", std::to_string(config_version_)}}};
+    const std::string route_name = route_ == nullptr ? "" : route_->name;
+    state_.metrics.ended(route_ == nullptr ? "none" : route_name, how, took);
+    state_.note(class_of(how), [&] {
+        return to_record({request_id_, route_name, service_, instance, how, status,
+                          std::string(cause), tries_made_, took,
+                          route_ == nullptr ? duration{0} : give_up_at_ - arrived_,
+                          config_version_});
     });
 }
 
