Fetch changes of instances that come together in one watch

After changes of instances a follower rests 250 ms. The test's target held a cycle of handlers, which the leak check found.

--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -38,7 +38,10 @@
 /// that a returning store is not met by all nodes at once.
 class registry_follower {
 public:
-    explicit registry_follower(std::uint64_t seed) : random_(seed) {}
+    /// `rest` is the time that passes after changes before the next watch. Changes that come
+    /// together, as when a fleet starts, are then fetched together.
+    explicit registry_follower(std::uint64_t seed, duration rest = {})
+        : random_(seed), rest_(rest) {}
 
     /// What to do now.
     follow_step next();
@@ -60,6 +63,8 @@
     static constexpr duration longest_pause = 600ms;
 
     random_source random_;
+    duration rest_;
+    bool must_rest_ = false;
     std::optional<std::uint64_t> revision_;
     std::uint32_t failures_ = 0;
     bool has_paused_ = false;
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -1,6 +1,7 @@
 #include <trefoil/proxy/registry_follower.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoil {
 
@@ -31,12 +32,16 @@
     if (!revision_) {
         return read_topic{};
     }
+    if (std::exchange(must_rest_, false)) {
+        return pause_topic{rest_};
+    }
     return watch_topic{*revision_, watch_wait};
 }
 
 void registry_follower::succeeded(std::uint64_t revision, bool has_changes) {
     failures_ = 0;
     has_paused_ = false;
+    must_rest_ = has_changes && rest_ > duration{0};
     if (!revision_ || has_changes) {
         revision_ = std::max(revision_.value_or(0), revision);
     }
@@ -45,6 +50,7 @@
 void registry_follower::failed(registry_problem why) {
     revision_.reset();
     has_paused_ = false;
+    must_rest_ = false;
     if (why != registry_problem::history_gone) {
         ++failures_;
     }
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -24,11 +24,17 @@
     }
 }
 
+/// Instances come and go in numbers; a version must be in force at once.
+duration rest_of(registry_topic topic) {
+    constexpr duration instances_rest = 250ms;
+    return topic == registry_topic::instances ? instances_rest : duration{0};
+}
+
 } // namespace
 
 registry_view::registry_view(proxy_state& state, registry_client& client, registry_topic topic,
                              std::uint64_t seed)
-    : state_(state), client_(client), topic_(topic), follower_(seed),
+    : state_(state), client_(client), topic_(topic), follower_(seed, rest_of(topic)),
       timer_(state.loop, [this] { step(); }) {}
 
 void registry_view::step() {
--- a/libs/proxy/tests/registry_follower_test.cpp
+++ b/libs/proxy/tests/registry_follower_test.cpp
@@ -49,3 +49,12 @@
     follower.succeeded(12, true);
     CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
 }
+
+TEST_CASE("changes that come together are fetched together") {
+    registry_follower follower(1, 250ms);
+    follower.succeeded(18, true);
+    CHECK(follower.next() == follow_step(pause_topic{250ms}));
+    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    follower.succeeded(18, false);
+    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+}
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <netinet/in.h>
@@ -52,8 +53,13 @@
         }
     }
 
+    bool is_watched(registry_topic topic) const {
+        const auto found = watches_.find(topic);
+        return found != watches_.end() && found->second != nullptr;
+    }
+
     void change(registry_topic topic, std::vector<registry_change> changes) {
-        auto done = std::move(watches_[topic]);
+        auto done = std::exchange(watches_[topic], nullptr);
         done(registry_changes{std::move(changes), ++revision_});
     }
 
@@ -67,12 +73,13 @@
 
 /// A target that answers by its path and counts what reaches it.
 struct test_target {
-    explicit test_target(uv_loop_t* loop, endpoint where) {
+    test_target(uv_loop_t* loop, const endpoint& where) {
         auto made = http1::server::listen(
-            loop, where, {}, [this](std::shared_ptr<http1::served_request> request) {
+            loop, where, {}, [this](const std::shared_ptr<http1::served_request>& request) {
                 requests.push_back(request);
+                const std::weak_ptr<http1::served_request> weak = request;
                 request->set_handlers(
-                    {[this, request] { answer(request); }, [this] { ++given_up; }, {}});
+                    {[this, weak] { answer(weak.lock()); }, [this] { ++given_up; }, {}});
             });
         REQUIRE(made.ok());
         listener = std::move(*made);
@@ -199,6 +206,12 @@
         return made;
     }
 
+    /// Tells the first machine's node of changes once it watches for them.
+    void change(registry_topic topic, std::vector<registry_change> changes) {
+        REQUIRE(run_until([&] { return registries[0]->is_watched(topic); }));
+        registries[0]->change(topic, std::move(changes));
+    }
+
     bool run_until(const std::function<bool()>& condition) {
         const auto end = uv_hrtime() + 8'000'000'000ULL;
         while (!condition() && uv_hrtime() < end) {
@@ -266,8 +279,7 @@
 
 TEST_CASE("a target that leaves gets nothing more; the other machine's takes over") {
     two_machines site;
-    site.registries[0]->change(registry_topic::instances,
-                               {site.instance(0, listed_state::draining)});
+    site.change(registry_topic::instances, {site.instance(0, listed_state::draining)});
     for (int i = 0; i < 5; ++i) {
         CHECK(site.ask("/write/" + std::to_string(i)).status == 200);
     }
@@ -327,7 +339,7 @@
 
 TEST_CASE("a client that goes away ends the run at the target of another machine") {
     two_machines site;
-    site.registries[0]->change(registry_topic::instances, {instance_removed{instance_id("i0")}});
+    site.change(registry_topic::instances, {instance_removed{instance_id("i0")}});
     reply got;
     site.send(got, "/read/hang");
     REQUIRE(site.run_until([&] { return site.reached(1) == 1; }));
@@ -340,15 +352,15 @@
     CHECK(site.ask("/none/1").status == 404);
     auto next = site.config(2);
     next.routes.pop_back();
-    site.registries[0]->change(registry_topic::config, {next});
+    site.change(registry_topic::config, {next});
     CHECK(site.ask("/write/1").status == 404);
-    site.registries[0]->change(registry_topic::config, {site.config(1)});
+    site.change(registry_topic::config, {site.config(1)});
     CHECK(site.ask("/write/1").status == 404);
 }
 
 TEST_CASE("an item that can't be read leaves the last good one in force") {
     two_machines site;
-    site.registries[0]->change(registry_topic::config, {unreadable_item{"k", "version: bad", {}}});
+    site.change(registry_topic::config, {unreadable_item{"k", "version: bad", {}}});
     CHECK(site.ask("/read/1").status == 200);
 }
 
