--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -94,9 +94,6 @@
                                     std::string_view body, bool is_complete,
                                     exchange_options options, handler on_event);
 
-    /// Closes the idle connections to an address.
-    void forget(const endpoint& to);
-
     /// Closes idle connections whose time is over. Called about once a second.
     void sweep();
 
--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -100,7 +100,6 @@
 
     /// Requests that are not answered yet.
     std::size_t pending() const;
-    std::size_t connections() const;
 
     /// Ends connections that are idle or slow for too long. Called a few times a second.
     void sweep();
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -53,7 +53,6 @@
     std::shared_ptr<connection> take_idle(const endpoint& to, std::chrono::milliseconds max_idle);
     void keep(const std::shared_ptr<connection>& made);
     void drop_idle(const connection* gone);
-    void forget(const endpoint& to) { idle_.erase(to); }
     void sweep();
 
     uv_loop_t* loop_;
@@ -427,10 +426,6 @@
     return impl_->start(to, head, body, is_complete, std::move(options), std::move(on_event));
 }
 
-void client::forget(const endpoint& to) {
-    impl_->forget(to);
-}
-
 void client::sweep() {
     impl_->sweep();
 }
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -508,10 +508,6 @@
     return impl_->pending_;
 }
 
-std::size_t server::connections() const {
-    return impl_->connections_.size();
-}
-
 void server::sweep() {
     const auto now = uv_now(impl_->loop_);
     const auto open = impl_->connections_;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -1,5 +1,7 @@
 #include "registry_view.hpp"
 
+#include <algorithm>
+
 #include <trefoil/base/overloaded.hpp>
 
 namespace trefoil {
@@ -82,6 +84,7 @@
         has_read_ = true;
     }
     if (topic_ != registry_topic::instances) {
+        own_entry_changed();
         return;
     }
     if (is_full_read) {
@@ -152,7 +155,9 @@
     if (own == nullptr) {
         return;
     }
-    state_.gate.set_slots(own->slots);
+    const auto connections =
+        state_.routes == nullptr ? 0 : state_.routes->max_connections(own->service);
+    state_.gate.set_slots(connections == 0 ? own->slots : std::min(own->slots, connections));
     if (own->started_at_ms == own_started_at_ms_) {
         return;
     }
--- a/libs/traffic/include/trefoil/traffic/placement.hpp
+++ b/libs/traffic/include/trefoil/traffic/placement.hpp
@@ -66,8 +66,6 @@
     /// The node beside the instance refuses work for some time.
     void set_leaving(time_point now, const instance_id& instance);
 
-    std::uint32_t in_flight(const instance_id& instance) const;
-
 private:
     struct learnt_time {
         double mean_us = 0;
--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -185,11 +185,6 @@
     state.last_used = now;
 }
 
-std::uint32_t placement::in_flight(const instance_id& instance) const {
-    const auto found = states_.find(instance);
-    return found == states_.end() ? 0 : found->second.in_flight;
-}
-
 void placement::forget_unused(time_point now) {
     if (now < next_sweep_) {
         return;
