--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -155,7 +155,8 @@
     if (in_flight_.size() < limit()) {
         return duration{0};
     }
-    const auto ahead = std::distance(queue_.begin(), queue_.upper_bound({position, next_sequence_}));
+    const auto ahead =
+        std::distance(queue_.begin(), queue_.upper_bound({position, next_sequence_}));
     return service_times_.mean() * (ahead + 1) / std::max<std::uint32_t>(limit(), 1);
 }
 
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -7,9 +7,9 @@
 #include <unistd.h>
 #include <uv.h>
 
-#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/http/http_server.hpp>
+#include <trefoil/http1/header_rules.hpp>
 
 using namespace trefoil;
 
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -77,7 +77,7 @@
     void abort() override;
     std::size_t unsent() const override;
 
-    void add_body(std::string bytes) {
+    void add_body(const std::string& bytes) {
         body_ += bytes;
         call(handlers_.on_body);
     }
@@ -234,7 +234,7 @@
                 return;
             }
             std::visit(overloaded{[&](request_head& head) { take(std::move(head)); },
-                                  [&](body_piece& piece) { take_body(std::move(piece.bytes)); },
+                                  [&](body_piece& piece) { take_body(piece.bytes); },
                                   [&](const message_end& end) { complete(end.keeps_connection); },
                                   [&](parse_failure why) { refuse_malformed(why); }},
                        event);
@@ -262,7 +262,7 @@
         owner_.on_request_(made);
     }
 
-    void take_body(std::string bytes) {
+    void take_body(const std::string& bytes) {
         body_bytes_ += bytes.size();
         if (unread_ != nullptr) {
             return;
@@ -272,7 +272,7 @@
             return;
         }
         if (const auto latest = latest_.lock()) {
-            latest->add_body(std::move(bytes));
+            latest->add_body(bytes);
         }
     }
 
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -266,10 +266,11 @@
     endpoint where{"127.0.0.1", free_port()};
 
     explicit served(uv_loop_t* loop, server_limits limits = {}) {
-        auto made = server::listen(loop, where, limits, [this](std::shared_ptr<served_request> one) {
-            one->set_handlers({{}, [this] { ++gone; }, {}});
-            requests.push_back(std::move(one));
-        });
+        auto made =
+            server::listen(loop, where, limits, [this](std::shared_ptr<served_request> one) {
+                one->set_handlers({{}, [this] { ++gone; }, {}});
+                requests.push_back(std::move(one));
+            });
         REQUIRE(made.ok());
         listener = std::move(*made);
     }
--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -9,8 +9,8 @@
 #include <uv.h>
 
 #include <trefoil/base/random.hpp>
-#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
+#include <trefoil/http1/header_rules.hpp>
 
 namespace trefoil {
 namespace {
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -8,10 +8,10 @@
 #include <uv.h>
 
 #include <trefoil/base/overloaded.hpp>
+#include <trefoil/config_service/config_client.hpp>
 #include <trefoil/control/control_channel.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/http/http_server.hpp>
-#include <trefoil/config_service/config_client.hpp>
 
 #include "admin_pages.hpp"
 #include "message_rules.hpp"
--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -22,8 +22,8 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/membership/member_list.hpp>
 
 namespace trefoil {
--- a/tests/standins/fake_target_main.cpp
+++ b/tests/standins/fake_target_main.cpp
@@ -11,9 +11,9 @@
 #include <trefoil/base/log.hpp>
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/base/random.hpp>
-#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/http/http_server.hpp>
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/settings/tool_main.hpp>
 
 using namespace trefoil;
