Never send a streamed body again, and refuse a peer's request without its time

Cause: whether a body had been passed on as it came was derived from its stated length, which a chunked body has none of: one above 256 KB whose target was lost was sent to a second target empty. It is a flag set where streaming begins now.

--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -1,7 +1,5 @@
 #include "inbound_call.hpp"
 
-#include <charconv>
-
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
 
@@ -35,15 +33,13 @@
         return;
     }
     const auto terms = decode_terms(find_header(headers, terms_field));
-    if (!terms) {
+    const auto left = decode_milliseconds(find_header(headers, fields.time_left));
+    if (!terms || !left) {
         answer(refused_for(refusal::bad_request));
         return;
     }
     terms_ = *terms;
-    std::int64_t left_ms = 0;
-    const auto text = find_header(headers, fields.time_left);
-    std::from_chars(text.data(), text.data() + text.size(), left_ms);
-    terms_.remaining = std::chrono::milliseconds(left_ms);
+    terms_.remaining = *left;
     const auto* own = state_.directory.at_address(state_.settings.target);
     const bool is_leaving =
         state_.is_stopping || (own != nullptr && own->state == listed_state::draining);
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -1,7 +1,6 @@
 #include "outbound_call.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
@@ -26,15 +25,6 @@
 /// Retry time when no instance is known.
 constexpr duration no_instance_retry = 300ms;
 
-std::optional<duration> milliseconds_of(std::string_view text) {
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || value < 0) {
-        return std::nullopt;
-    }
-    return std::chrono::milliseconds(value);
-}
-
 std::string ms_text(duration value) {
     return fmt::format("{:.0f}", to_ms(value));
 }
@@ -103,7 +93,7 @@
         return false;
     }
     const auto& fields = state_.settings.fields;
-    const auto left = milliseconds_of(find_header(head.headers, fields.time_left));
+    const auto left = decode_milliseconds(find_header(head.headers, fields.time_left));
     give_up_at_ = arrived_ + std::min(left.value_or(route_->timeout), route_->timeout);
     service_ = state_.rotation.next(*route_);
     state_.repeats.requested(arrived_, service_);
@@ -149,6 +139,7 @@
     }
     is_started_ = true;
     is_body_whole_ = request_->is_body_complete();
+    is_body_streamed_ = !is_body_whole_;
     body_ = request_->take_body();
     next_try();
 }
@@ -206,14 +197,10 @@
     if (may_have_run_ && !is_idempotent()) {
         return false;
     }
-    const bool was_streamed = tries_made_ > 0 && !is_body_whole_;
-    const bool was_dropped = tries_made_ > 0 && is_body_whole_ && body_.empty() &&
-                             request_->head().framing != http1::body_end::none &&
-                             request_->head().content_length > max_held_body;
-    if (was_streamed || was_dropped) {
-        return false;
+    if (tries_made_ == 0) {
+        return true;
     }
-    return tries_made_ == 0 || give_up_at_ - state_.now() > least_time_for_repeat;
+    return !is_body_streamed_ && give_up_at_ - state_.now() > least_time_for_repeat;
 }
 
 void outbound_call::next_try() {
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -95,6 +95,8 @@
     /// The body as far as it was taken from the client and may have to be sent again.
     std::string body_;
     bool is_body_whole_ = false;
+    /// True for a body that is passed on as it comes; it is not held, so it can't be sent again.
+    bool is_body_streamed_ = false;
     bool is_started_ = false;
 
     tries tries_;
--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -90,6 +90,15 @@
     return terms;
 }
 
+std::optional<duration> decode_milliseconds(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || value < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
 std::string_view encode_below(failure_below below) {
     return below == failure_below::no_room ? below_no_room : below_failed;
 }
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -384,3 +384,43 @@
     CHECK(site.reached(0) == 0);
     CHECK(site.ask("/write/other").status == 200);
 }
+
+TEST_CASE("a body that was passed on as it came is never sent again") {
+    two_machines site;
+    http1::request_head head;
+    head.method = "POST";
+    head.target = "/read/hang";
+    head.headers = {{"host", "h"}, {"id", "caller-1"}};
+    head.framing = http1::body_end::chunks;
+    const std::string piece(200'000, 'x');
+    reply got;
+    got.running = site.client->start(
+        {site.ip(0), site.caller_port}, head, piece, false, {},
+        [&got](http1::exchange_event event) { two_machines::take(got, std::move(event)); });
+    got.running->send_body(piece);
+    REQUIRE(site.run_until([&] { return site.reached(0) == 1; }));
+    got.running->finish_body();
+    const auto& run = site.targets[0]->requests[0];
+    REQUIRE(site.run_until([&] { return run->is_body_complete(); }));
+    CHECK(run->body_size() == 2 * piece.size());
+    run->abort();
+    REQUIRE(site.run_until([&] { return got.is_over; }));
+    CHECK(got.status == 502);
+    CHECK(site.reached(0) + site.reached(1) == 1);
+}
+
+TEST_CASE("a request of another node that doesn't say how long its caller waits is refused") {
+    two_machines site;
+    http1::request_head head;
+    head.method = "GET";
+    head.target = "/read/1";
+    head.headers = {{"host", "h"}, {"id", "caller-1"}, {"trefoil-terms", "1 5 0 0 0 500 read"}};
+    reply got;
+    got.running = site.client->start(
+        {site.ip(0), site.peer_port}, head, {}, true, {},
+        [&got](http1::exchange_event event) { two_machines::take(got, std::move(event)); });
+    REQUIRE(site.run_until([&] { return got.is_over; }));
+    CHECK(got.status == 503);
+    CHECK(find_header(got.headers, "trefoil-verdict").starts_with("not_run bad_request"));
+    CHECK(site.reached(0) == 0);
+}
