Tell owners of refusals from the loop, never from another's submission

Cause: queueing a request could push an earlier one out; its owner answered at once, and while the node stops that answer ends the connection, with all of its requests, one of which was just being queued: its run was kept for an owner that was gone (use after free under AddressSanitizer in the new test, which failed before). Runs start at once as before; refusals are told in the loop's next turn, so that submit() needs no case for its own.

--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <uv.h>
 
@@ -148,9 +149,6 @@
         below_ = failure_below::no_room;
     }
 
-    /// The gate's maker is told of the refusal by submit() itself.
-    void set_refused() { is_over_ = true; }
-
 private:
     void take(http1::exchange_event event) {
         auto passed = collector_.take(std::move(event));
@@ -235,8 +233,10 @@
 target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields,
                          crash_watch& crashes)
     : loop_(loop), target_(std::move(target)), fields_(fields), crashes_(crashes),
-      client_(loop, connection_limits), admission_(gate_settings()),
-      timer_(loop, [this] { advance(); }) {}
+      client_(loop, connection_limits), admission_(gate_settings()), timer_(loop, [this] {
+          tell_refused();
+          advance();
+      }) {}
 
 time_point target_gate::now() const {
     return time_point(std::chrono::milliseconds(uv_now(loop_)));
@@ -267,11 +267,7 @@
     }
     auto made = std::make_unique<run>(*this, call, std::move(request), std::move(on_event));
     runs_.emplace(call, made.get());
-    const auto own = advance(call);
-    if (own != refusal::none) {
-        made->set_refused();
-        return refused(own, position);
-    }
+    advance();
     return made;
 }
 
@@ -295,14 +291,8 @@
     return result;
 }
 
-refusal target_gate::advance(call_id submitted) {
-    const auto changes = admission_.advance(now());
-    auto verdict = refusal::none;
-    for (const auto& change : changes) {
-        if (change.call == submitted && change.reason != refusal::none) {
-            verdict = change.reason;
-            continue;
-        }
+void target_gate::advance() {
+    for (const auto& change : admission_.advance(now())) {
         const auto found = runs_.find(change.call);
         if (found == runs_.end()) {
             continue;
@@ -310,11 +300,20 @@
         if (change.reason == refusal::none) {
             found->second->start();
         } else {
-            found->second->refuse(change.reason);
+            refused_.push_back({change.call, change.reason});
         }
     }
     arm_timer();
-    return verdict;
+}
+
+void target_gate::tell_refused() {
+    const auto refused = std::exchange(refused_, {});
+    for (const auto& entry : refused) {
+        const auto found = runs_.find(entry.call);
+        if (found != runs_.end()) {
+            found->second->refuse(entry.reason);
+        }
+    }
 }
 
 void target_gate::give_up(call_id call, time_point since) {
@@ -326,6 +325,10 @@
 }
 
 void target_gate::arm_timer() {
+    if (!refused_.empty()) {
+        timer_.start(0ms);
+        return;
+    }
     const auto next = admission_.next_deadline();
     if (!next) {
         timer_.stop();
--- a/libs/proxy/src/target_gate.hpp
+++ b/libs/proxy/src/target_gate.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 #include <trefoil/admission/admission.hpp>
 #include <trefoil/base/endpoint.hpp>
@@ -64,9 +65,16 @@
     class run;
 
     time_point now() const;
-    /// Carries out admission's decisions. A refusal of the call that is being submitted is
-    /// returned.
-    refusal advance(call_id submitted = {});
+    /// A run that admission has refused and whose owner is not told yet.
+    struct pending_refusal {
+        call_id call;
+        refusal reason = refusal::none;
+    };
+
+    /// Carries out admission's decisions. Runs are started at once; owners are told of refusals
+    /// from the loop, since a handler may end other runs, also one that is being submitted.
+    void advance();
+    void tell_refused();
     /// The owner of a waiting or running request has gone.
     void give_up(call_id call, time_point since);
     void arm_timer();
@@ -83,7 +91,8 @@
     /// Running requests by id, for the calls that they make.
     std::unordered_map<std::string, run*> running_;
     std::uint64_t next_call_ = 1;
-    /// Fires when a waiting request has become too late.
+    std::vector<pending_refusal> refused_;
+    /// Fires when owners are to be told of refusals, or when a waiting request has become too late.
     http1::loop_timer timer_;
 };
 
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -1,7 +1,9 @@
 // Two proxies and their targets in one process, over loopback, with a registry in memory.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,7 +20,9 @@
 #include <trefoil/http1/client.hpp>
 #include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http1/server.hpp>
+#include <trefoil/http1/tcp_stream.hpp>
 #include <trefoil/proxy/proxy_node.hpp>
+#include <trefoil/traffic/call_tree.hpp>
 
 using namespace trefoil;
 
@@ -424,3 +428,51 @@
     CHECK(find_header(got.headers, "trefoil-verdict").starts_with("not_run bad_request"));
     CHECK(site.reached(0) == 0);
 }
+
+// While the node stops, an answer ends its connection. A request that pushes an earlier one of its
+// own connection out of the queue ends with it, in the middle of being queued.
+TEST_CASE("a request whose connection ends while it is queued leaves nothing behind") {
+    two_machines site;
+    site.change(registry_topic::instances, {instance_removed{instance_id("i1")}});
+    std::raise(SIGTERM);
+    reply ready;
+    REQUIRE(site.run_until([&] {
+        ready = {};
+        http1::request_head head;
+        head.method = "GET";
+        head.target = "/";
+        ready.running = site.client->start(
+            {site.ip(0), site.ready_port}, head, {}, true, {},
+            [&ready](http1::exchange_event event) { two_machines::take(ready, std::move(event)); });
+        site.run_until([&] { return ready.is_over; });
+        return ready.status == 503;
+    }));
+    // Three of four slots are used, so three hanging requests fill the target and three more wait.
+    std::array<reply, 3> hanging;
+    for (auto& one : hanging) {
+        site.send(one, "/read/hang");
+    }
+    REQUIRE(site.run_until([&] { return site.reached(0) == hanging.size(); }));
+    std::vector<std::string> ids;
+    for (char letter = 'a'; letter < 'a' + 4; ++letter) {
+        ids.emplace_back(1, letter);
+    }
+    std::sort(ids.begin(), ids.end(),
+              [](const auto& left, const auto& right) { return share_of(left) > share_of(right); });
+    bool has_ended = false;
+    std::string bytes;
+    for (const auto& id : ids) {
+        bytes += "GET /read/" + id + " HTTP/1.1\r\nhost: h\r\nid: " + id + "\r\n\r\n";
+    }
+    const auto stream =
+        http1::tcp_stream::connect(&site.loop, {site.ip(0), site.caller_port},
+                                   {{}, {}, [&](http1::stream_end) { has_ended = true; }, {}});
+    stream->write(bytes);
+    REQUIRE(site.run_until([&] { return has_ended; }));
+    for (auto& one : hanging) {
+        REQUIRE(site.run_until([&] { return one.is_over; }));
+    }
+    const auto later = uv_hrtime() + 300'000'000ULL;
+    site.run_until([&] { return uv_hrtime() > later; });
+    CHECK(site.reached(0) == hanging.size());
+}
