--- a/libs/base/include/trefoil/base/time.hpp
+++ b/libs/base/include/trefoil/base/time.hpp
@@ -31,6 +31,11 @@
     return static_cast<double>(value.count()) / 1000.0;
 }
 
+/// The duration in whole milliseconds, rounded down.
+constexpr std::chrono::milliseconds whole_ms(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+}
+
 /// The duration in seconds, with its fraction.
 constexpr double to_seconds(duration value) {
     return static_cast<double>(value.count()) / 1e6;
--- a/libs/config_service/src/config_client.cpp
+++ b/libs/config_service/src/config_client.cpp
@@ -44,8 +44,7 @@
     request.path = platform_path(what);
     request.service = service_name(to_string(platform_));
     exchange_limits limits;
-    limits.timeout =
-        std::chrono::duration_cast<std::chrono::milliseconds>(what.wait) + answer_grace;
+    limits.timeout = whole_ms(what.wait) + answer_grace;
     limits.max_answer_bytes = max_document_bytes;
     client_.send(platform_, request, limits, [done = std::move(done)](const exchange_result& r) {
         std::visit(overloaded{
--- a/libs/http1/include/trefoil/http1/loop_timer.hpp
+++ b/libs/http1/include/trefoil/http1/loop_timer.hpp
@@ -1,4 +1,4 @@
-// A timer on a libuv loop.
+// Time on a libuv loop.
 #pragma once
 
 #include <functional>
@@ -9,6 +9,9 @@
 
 namespace trefoil::http1 {
 
+/// The loop's time: that of its present iteration, in milliseconds since an arbitrary start.
+time_point loop_time(const uv_loop_s* loop);
+
 /// Calls a function once or again and again. Destroying it stops it, also from its own function.
 class loop_timer {
 public:
--- a/libs/http1/src/loop_timer.cpp
+++ b/libs/http1/src/loop_timer.cpp
@@ -7,13 +7,17 @@
 namespace trefoil::http1 {
 namespace {
 
-std::uint64_t whole_ms(duration value) {
+std::uint64_t rounded_up_ms(duration value) {
     return static_cast<std::uint64_t>(
         std::chrono::ceil<std::chrono::milliseconds>(std::max<duration>(value, 0ms)).count());
 }
 
 } // namespace
 
+time_point loop_time(const uv_loop_s* loop) {
+    return time_point(std::chrono::milliseconds(uv_now(loop)));
+}
+
 /// Outlives its timer until libuv has closed it.
 class loop_timer::handle {
 public:
@@ -49,11 +53,11 @@
 }
 
 void loop_timer::start(duration delay) {
-    handle_->start(whole_ms(delay), 0);
+    handle_->start(rounded_up_ms(delay), 0);
 }
 
 void loop_timer::start_repeating(duration interval) {
-    handle_->start(whole_ms(interval), whole_ms(interval));
+    handle_->start(rounded_up_ms(interval), rounded_up_ms(interval));
 }
 
 void loop_timer::stop() {
--- a/libs/load/src/load_run.cpp
+++ b/libs/load/src/load_run.cpp
@@ -212,8 +212,7 @@
             message.headers.push_back({"idempotency-key", key});
         }
         exchange_limits limits;
-        limits.timeout =
-            std::chrono::duration_cast<std::chrono::milliseconds>(kind.deadline) + late_grace;
+        limits.timeout = whole_ms(kind.deadline) + late_grace;
         const auto entry = choose_entry(kind.service);
         client_->send(entry, message, limits,
                       [this, request = std::move(request)](const exchange_result& result) {
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -252,8 +252,7 @@
 
     void perform(const start_attempt& what) {
         exchange_limits limits;
-        limits.timeout =
-            std::chrono::duration_cast<std::chrono::milliseconds>(what.timeout) + timeout_grace;
+        limits.timeout = whole_ms(what.timeout) + timeout_grace;
         limits.max_answer_bytes = what.max_answer_bytes;
         const auto sent = std::visit(
             overloaded{
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -15,6 +15,10 @@
 
 namespace trefoil {
 
+/// Bodies of requests up to this size are read whole before an attempt, so that they can be sent
+/// again; larger ones are passed on as they come.
+inline constexpr std::size_t max_held_body_bytes = 256U << 10U;
+
 /// What is known of the calls that a target made while it ran a request that it then failed.
 enum class failure_below : std::uint8_t {
     /// It made none that failed.
--- a/libs/proxy/src/crash_watch.cpp
+++ b/libs/proxy/src/crash_watch.cpp
@@ -3,7 +3,6 @@
 #include <charconv>
 
 #include <fmt/format.h>
-#include <uv.h>
 
 #include <trefoil/base/hash.hpp>
 
@@ -53,7 +52,7 @@
       timer_(loop, [this] { look(); }) {}
 
 time_point crash_watch::now() const {
-    return time_point(std::chrono::milliseconds(uv_now(loop_)));
+    return http1::loop_time(loop_);
 }
 
 void crash_watch::lost(request_print request) {
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -6,13 +6,6 @@
 #include "own_answer.hpp"
 
 namespace trefoil {
-namespace {
-
-/// Bodies up to this size are read before the request is queued.
-constexpr std::size_t max_held_body = 256U << 10U;
-
-} // namespace
-
 void inbound_call::serve(proxy_state& state, std::shared_ptr<http1::served_request> request) {
     const auto call = std::make_shared<inbound_call>(state, std::move(request));
     call->start();
@@ -66,7 +59,7 @@
         return;
     }
     if (!is_submitted_) {
-        if (request_->is_body_complete() || request_->body_size() > max_held_body) {
+        if (request_->is_body_complete() || request_->body_size() > max_held_body_bytes) {
             submit();
         }
         return;
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -14,8 +14,6 @@
 namespace trefoil {
 namespace {
 
-/// Bodies up to this size are held so that they can be sent again.
-constexpr std::size_t max_held_body = 256U << 10U;
 /// Nodes that are asked at most for one request, most of which refuse before their target.
 constexpr std::uint32_t max_tries = 5;
 /// A repeat is not begun with less time left than this.
@@ -72,8 +70,8 @@
     const auto self = shared_from_this();
     request_->set_handlers({[self] { self->body_arrived(); }, [self] { self->client_gone(); },
                             [self] {
-                                if (self->relay_ && !self->tries_.empty()) {
-                                    self->relay_->resume(*self->tries_.front().work);
+                                if (self->relay_ && self->try_) {
+                                    self->relay_->resume(*self->try_->work);
                                 }
                             }});
     body_arrived();
@@ -134,7 +132,7 @@
         send_more_body();
         return;
     }
-    if (!request_->is_body_complete() && request_->body_size() <= max_held_body) {
+    if (!request_->is_body_complete() && request_->body_size() <= max_held_body_bytes) {
         return;
     }
     is_started_ = true;
@@ -145,10 +143,10 @@
 }
 
 void outbound_call::send_more_body() {
-    if (is_body_whole_ || tries_.empty()) {
+    if (is_body_whole_ || !try_) {
         return;
     }
-    auto& work = *tries_.front().work;
+    auto& work = *try_->work;
     work.send_body(request_->take_body());
     if (request_->is_body_complete()) {
         is_body_whole_ = true;
@@ -246,7 +244,6 @@
 
 void outbound_call::begin_try(const listed_instance& instance, bool is_repeat) {
     const auto now = state_.now();
-    const auto number = next_number_++;
     ++tries_made_;
     ++reached_targets_;
     if (tries_made_ > 1) {
@@ -263,51 +260,49 @@
     }
     excluded_.push_back(instance.id);
     state_.places.started(now, instance.id);
-    tries_.push_front({number, instance.id, now, is_repeat, nullptr});
-    auto handler = [this, number](attempt_event event) { take(number, std::move(event)); };
+    try_ = running_try{instance.id, now, is_repeat, nullptr};
+    auto handler = [this](attempt_event event) { take(std::move(event)); };
     if (instance.target == state_.settings.target) {
         auto made = state_.gate.submit(
             {head_for(instance), body_, is_body_whole_, terms_now(), request_id_},
             std::move(handler));
         if (auto* refused = std::get_if<attempt_refusal>(&made)) {
-            take(number, *refused);
+            take(*refused);
             return;
         }
-        tries_.front().work = std::move(std::get<std::unique_ptr<attempt>>(made));
+        try_->work = std::move(std::get<std::unique_ptr<attempt>>(made));
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
-    tries_.front().work = start_peer_attempt(
-        state_.peers, state_.settings.fields,
-        {peer, head_for(instance), body_, is_body_whole_, terms_now()}, std::move(handler));
+    try_->work = start_peer_attempt(state_.peers, state_.settings.fields,
+                                    {peer, head_for(instance), body_, is_body_whole_, terms_now()},
+                                    std::move(handler));
 }
 
-void outbound_call::take(std::uint64_t number, attempt_event event) {
+void outbound_call::take(attempt_event event) {
     const auto self = shared_from_this();
-    const auto at = std::find_if(tries_.begin(), tries_.end(),
-                                 [&](const running_try& entry) { return entry.number == number; });
-    if (is_over_ || at == tries_.end()) {
+    if (is_over_ || !try_) {
         return;
     }
-    std::visit(overloaded{[&](attempt_reply& reply) { take_reply(at, std::move(reply)); },
+    std::visit(overloaded{[&](attempt_reply& reply) { take_reply(std::move(reply)); },
                           [&](const http1::body_piece& piece) { take_piece(piece); },
                           [&](const http1::message_end&) {
                               relay_->finish();
                               end(call_end::served, 0, "");
                           },
-                          [&](const attempt_refusal& refused) { take_refusal(at, refused); },
-                          [&](const attempt_failure& failed) { take_failure(at, failed); }},
+                          [&](const attempt_refusal& refused) { take_refusal(refused); },
+                          [&](const attempt_failure& failed) { take_failure(failed); }},
                event);
 }
 
-void outbound_call::take_refusal(tries::iterator at, const attempt_refusal& refused) {
-    note_placement(*at, placement_end(refused), refused.load);
+void outbound_call::take_refusal(const attempt_refusal& refused) {
+    note_placement(placement_end(refused), refused.load);
     if (refused.reason == refusal::leaving) {
-        state_.places.set_leaving(state_.now(), at->instance);
+        state_.places.set_leaving(state_.now(), try_->instance);
     }
     if (!refused.reached_target) {
         --reached_targets_;
-        if (at->is_repeat) {
+        if (try_->is_repeat) {
             state_.repeats.give_back(state_.now(), service_);
         }
     }
@@ -315,10 +310,7 @@
     last_refusal_reached_target_ = refused.reached_target;
     last_problem_ = std::string(name_of(refused.reason));
     retry_after_ = std::max(retry_after_, refused.retry_after);
-    tries_.erase(at);
-    if (!tries_.empty()) {
-        return;
-    }
+    try_.reset();
     const bool concerns_all_instances =
         refused.reason == refusal::chain_level || refused.reason == refusal::quarantined;
     if (concerns_all_instances) {
@@ -328,8 +320,8 @@
     next_try();
 }
 
-void outbound_call::take_failure(tries::iterator at, const attempt_failure& failed) {
-    note_placement(*at, attempt_result::failed, std::nullopt);
+void outbound_call::take_failure(const attempt_failure& failed) {
+    note_placement(attempt_result::failed, std::nullopt);
     if (relay_) {
         relay_->abort();
         end(call_end::failed, 0, name_of(failed.problem));
@@ -337,38 +329,32 @@
     }
     may_have_run_ = true;
     last_problem_ = std::string(name_of(failed.problem));
-    tries_.erase(at);
-    if (tries_.empty()) {
-        next_try();
-    }
+    try_.reset();
+    next_try();
 }
 
-void outbound_call::take_reply(tries::iterator at, attempt_reply reply) {
+void outbound_call::take_reply(attempt_reply reply) {
     const bool is_error = reply.head.status >= 500;
-    note_placement(*at, is_error ? attempt_result::answered_error : attempt_result::answered,
+    note_placement(is_error ? attempt_result::answered_error : attempt_result::answered,
                    reply.load);
     const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
                                     reply.head.status != 504 &&
                                     reply.below == failure_below::none && !fallback_;
     if (!is_worth_repeating) {
-        deliver(at, std::move(reply));
+        deliver(std::move(reply));
         return;
     }
     may_have_run_ = true;
     last_problem_ = fmt::format("status_{}", reply.head.status);
     fallback_ = std::move(reply);
-    tries_.erase(at);
+    try_.reset();
     next_try();
 }
 
-void outbound_call::deliver(tries::iterator at, attempt_reply reply) {
+void outbound_call::deliver(attempt_reply reply) {
     const auto status = reply.head.status;
     const bool is_complete = reply.is_complete;
     below_ = reply.below;
-    tries chosen;
-    chosen.splice(chosen.begin(), tries_, at);
-    drop_tries();
-    tries_ = std::move(chosen);
     relay_.emplace(request_);
     relay_->begin(std::move(reply), {});
     if (is_complete) {
@@ -377,13 +363,10 @@
 }
 
 void outbound_call::take_piece(const http1::body_piece& piece) {
-    relay_->pass(piece.bytes, *tries_.front().work);
+    relay_->pass(piece.bytes, *try_->work);
 }
 
 void outbound_call::conclude() {
-    if (!tries_.empty() || is_over_) {
-        return;
-    }
     if (fallback_) {
         const auto status = fallback_->head.status;
         relay_.emplace(request_);
@@ -407,13 +390,10 @@
         // The answer is on its way and is delivered late.
         return;
     }
-    const bool may_have_run =
-        may_have_run_ || std::any_of(tries_.begin(), tries_.end(), [](const running_try& entry) {
-            return entry.work == nullptr || entry.work->may_have_run();
-        });
+    const bool may_have_run = may_have_run_ || (try_ && try_->work->may_have_run());
     if (fallback_ || !may_have_run) {
         last_refusal_ = last_refusal_ == refusal::none ? refusal::deadline : last_refusal_;
-        drop_tries();
+        drop_try();
         conclude();
         return;
     }
@@ -436,11 +416,10 @@
     request_->respond(std::move(head), {});
 }
 
-void outbound_call::note_placement(const running_try& done, attempt_result result,
-                                   const std::optional<load_report>& load) {
+void outbound_call::note_placement(attempt_result result, const std::optional<load_report>& load) {
     const auto now = state_.now();
-    const auto change = state_.places.finished(now, place_request(), done.instance,
-                                               {result, now - done.since, load});
+    const auto change = state_.places.finished(now, place_request(), try_->instance,
+                                               {result, now - try_->since, load});
     if (change.event == ejection_event::none) {
         return;
     }
@@ -454,11 +433,11 @@
     });
 }
 
-void outbound_call::drop_tries() {
-    for (const auto& entry : tries_) {
-        note_placement(entry, attempt_result::withdrawn, std::nullopt);
+void outbound_call::drop_try() {
+    if (try_) {
+        note_placement(attempt_result::withdrawn, std::nullopt);
+        try_.reset();
     }
-    tries_.clear();
 }
 
 void outbound_call::tell_parent(call_end how) {
@@ -484,11 +463,11 @@
     }
     const bool was_relayed =
         how == call_end::served || how == call_end::served_late || how == call_end::target_error;
-    const std::string instance = tries_.empty() ? "" : tries_.front().instance.str();
+    const std::string instance = try_ ? try_->instance.str() : "";
     if (was_relayed) {
-        tries_.clear();
+        try_.reset();
     } else {
-        drop_tries();
+        drop_try();
     }
     request_->set_handlers({});
     const std::string route_name = route_ == nullptr ? "" : route_->name;
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,16 +32,14 @@
     outbound_call& operator=(const outbound_call&) = delete;
 
 private:
-    /// One attempt that is under way.
+    /// The attempt that is under way.
     struct running_try {
-        std::uint64_t number = 0;
         instance_id instance;
         time_point since;
         /// True if it draws on the allowance of repeats.
         bool is_repeat = false;
         std::unique_ptr<attempt> work;
     };
-    using tries = std::list<running_try>;
 
     void start();
     bool read_terms();
@@ -58,21 +55,22 @@
     run_terms terms_now() const;
     placement_request place_request() const;
 
-    void take(std::uint64_t number, attempt_event event);
-    void take_refusal(tries::iterator at, const attempt_refusal& refused);
-    void take_failure(tries::iterator at, const attempt_failure& failed);
-    void take_reply(tries::iterator at, attempt_reply reply);
-    void deliver(tries::iterator at, attempt_reply reply);
+    void take(attempt_event event);
+    void take_refusal(const attempt_refusal& refused);
+    void take_failure(const attempt_failure& failed);
+    void take_reply(attempt_reply reply);
+    void deliver(attempt_reply reply);
     void take_piece(const http1::body_piece& piece);
     void conclude();
     void time_out();
     void refuse(refusal reason);
     void answer(http1::response_head head);
 
-    void note_placement(const running_try& done, attempt_result end,
-                        const std::optional<load_report>& load);
+    /// Tells placement how the running try has ended.
+    void note_placement(attempt_result end, const std::optional<load_report>& load);
     void tell_parent(call_end how);
-    void drop_tries();
+    /// Gives the running try up, if there is one.
+    void drop_try();
     void end(call_end how, int status, std::string_view cause);
     duration elapsed() const;
     bool is_idempotent() const;
@@ -99,8 +97,8 @@
     bool is_body_streamed_ = false;
     bool is_started_ = false;
 
-    tries tries_;
-    std::uint64_t next_number_ = 1;
+    /// One at a time.
+    std::optional<running_try> try_;
     std::vector<instance_id> excluded_;
     std::uint32_t reached_targets_ = 0;
     std::uint32_t tries_made_ = 0;
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -20,9 +20,7 @@
     void start(http1::client& client, const call_fields& fields, peer_request request) {
         request.head.headers.push_back({std::string(terms_field), encode_terms(request.terms)});
         set_header(request.head.headers, fields.time_left,
-                   std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                      request.terms.remaining)
-                                      .count()));
+                   encode_milliseconds(request.terms.remaining));
         http1::exchange_options options;
         options.connect_timeout = peer_connect_timeout;
         if (request.terms.repeats == repeatability::at_most_once) {
--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -35,10 +35,6 @@
     return value;
 }
 
-std::int64_t whole_ms(duration value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 std::optional<refusal> refusal_named(std::string_view name) {
     for (const auto reason : all_refusals()) {
         if (name_of(reason) == name) {
@@ -62,8 +58,8 @@
 std::string encode_terms(const run_terms& terms) {
     return fmt::format("{} {} {} {} {} {} {}", terms.priority, terms.share,
                        terms.repeats == repeatability::at_most_once ? 1 : 0,
-                       terms.is_nested ? 1 : 0, terms.is_repeat ? 1 : 0, whole_ms(terms.useful),
-                       terms.route);
+                       terms.is_nested ? 1 : 0, terms.is_repeat ? 1 : 0,
+                       whole_ms(terms.useful).count(), terms.route);
 }
 
 std::optional<run_terms> decode_terms(std::string_view text) {
@@ -90,6 +86,10 @@
     return terms;
 }
 
+std::string encode_milliseconds(duration value) {
+    return std::to_string(whole_ms(value).count());
+}
+
 std::optional<duration> decode_milliseconds(std::string_view text) {
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -133,7 +133,7 @@
         overloaded{[](const attempt_refusal& refused) {
                        return fmt::format("{} {} {} {}", not_run, name_of(refused.reason),
                                           refused.reached_target ? 1 : 0,
-                                          whole_ms(refused.retry_after));
+                                          whole_ms(refused.retry_after).count());
                    },
                    [](const attempt_failure& failed) {
                        return fmt::format("{} {} 0 0", unknown, name_of(failed.problem));
--- a/libs/proxy/src/peer_message.hpp
+++ b/libs/proxy/src/peer_message.hpp
@@ -54,7 +54,9 @@
 /// Nothing if the text is malformed. `remaining` stays zero.
 std::optional<run_terms> decode_terms(std::string_view text);
 
-/// Milliseconds as a field holds them; nothing if the text is malformed or negative.
+/// Milliseconds as a field holds them.
+std::string encode_milliseconds(duration value);
+/// Nothing if the text is malformed or negative.
 std::optional<duration> decode_milliseconds(std::string_view text);
 
 std::string_view encode_below(failure_below below);
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -40,10 +40,6 @@
 constexpr std::uint64_t peer_max_body_bytes = 1ULL << 40U;
 constexpr std::size_t peer_max_head_bytes = 131072;
 
-std::chrono::milliseconds whole_ms(duration value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
-}
-
 http1::server_limits limits_of(const sender_limits& limits) {
     http1::server_limits made;
     made.max_head_bytes = limits.max_header_bytes;
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 #include <unistd.h>
-#include <uv.h>
 
+#include <trefoil/http1/loop_timer.hpp>
 namespace trefoil {
 namespace {
 
@@ -23,7 +23,7 @@
       gate(its_loop, settings.target, settings.fields, crashes), random(seed + 1) {}
 
 time_point proxy_state::now() const {
-    return time_point(std::chrono::milliseconds(uv_now(loop)));
+    return http1::loop_time(loop);
 }
 
 void proxy_state::spread(const death_notice& notice) {
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -100,7 +100,7 @@
     std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
                           [&](listed_instance& listed) {
                               const auto id = listed.id;
-                              note_directory(id, state_.directory.put(state_.now(), listed));
+                              note_directory(id, state_.directory.put(listed));
                           },
                           [&](const instance_removed& removed) {
                               note_directory(removed.id,
@@ -183,7 +183,7 @@
         return;
     }
     if (topic_ == registry_topic::instances) {
-        state_.directory.source_lost(state_.now());
+        state_.directory.source_lost();
     }
     if (is_reported_lost_) {
         return;
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -4,8 +4,6 @@
 #include <limits>
 #include <utility>
 
-#include <uv.h>
-
 #include <trefoil/admission/admission_position.hpp>
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
@@ -62,9 +60,10 @@
 /// A request that waits for its turn or runs.
 class target_gate::run : public attempt {
 public:
-    run(target_gate& gate, call_id call, gate_request request, attempt_handler on_event)
+    run(target_gate& gate, call_id call, request_print print, gate_request request,
+        attempt_handler on_event)
         : gate_(gate), call_(call), request_(std::move(request)), on_event_(std::move(on_event)),
-          print_(print_in(gate.fields_, request_)), arrived_(gate.now()) {}
+          print_(print), arrived_(gate.now()) {}
 
     ~run() override {
         gate_.runs_.erase(call_);
@@ -112,9 +111,7 @@
         }
         const auto waited = started_ - arrived_;
         const auto left = std::max<duration>(request_.terms.remaining - waited, 1ms);
-        set_header(
-            request_.head.headers, gate_.fields_.time_left,
-            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+        set_header(request_.head.headers, gate_.fields_.time_left, encode_milliseconds(left));
         http1::exchange_options options;
         options.connect_timeout = target_connect_timeout;
         if (request_.terms.repeats == repeatability::at_most_once) {
@@ -239,7 +236,7 @@
       }) {}
 
 time_point target_gate::now() const {
-    return time_point(std::chrono::milliseconds(uv_now(loop_)));
+    return http1::loop_time(loop_);
 }
 
 std::variant<std::unique_ptr<attempt>, attempt_refusal>
@@ -247,7 +244,8 @@
     const call_id call{next_call_++};
     const auto position = position_of(request.terms);
     const auto& terms = request.terms;
-    if (crashes_.is_blocked(print_in(fields_, request))) {
+    const auto print = print_in(fields_, request);
+    if (crashes_.is_blocked(print)) {
         return refused(refusal::quarantined, position);
     }
     // A nested call has cost its whole request work already, so only the first leg is held back.
@@ -265,7 +263,7 @@
     if (verdict != refusal::none) {
         return refused(verdict, position);
     }
-    auto made = std::make_unique<run>(*this, call, std::move(request), std::move(on_event));
+    auto made = std::make_unique<run>(*this, call, print, std::move(request), std::move(on_event));
     runs_.emplace(call, made.get());
     advance();
     return made;
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -462,7 +462,8 @@
     bool has_ended = false;
     std::string bytes;
     for (const auto& id : ids) {
-        bytes += "GET /read/" + id + " HTTP/1.1\r\nhost: h\r\nid: " + id + "\r\n\r\n";
+        bytes.append("GET /read/").append(id).append(" HTTP/1.1\r\nhost: h\r\nid: ");
+        bytes.append(id).append("\r\n\r\n");
     }
     const auto stream =
         http1::tcp_stream::connect(&site.loop, {site.ip(0), site.caller_port},
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -60,13 +60,13 @@
                                                                   std::vector<listed_instance> all);
 
     /// Takes one changed entry.
-    directory_change put(time_point now, listed_instance entry);
+    directory_change put(listed_instance entry);
 
     /// An entry was removed or can't be read.
     directory_change remove(time_point now, const instance_id& id);
 
     /// The registry can't be read, or can again.
-    void source_lost(time_point now);
+    void source_lost();
     void source_regained(time_point now);
 
     /// Drops held entries whose time is over and returns them.
@@ -95,23 +95,27 @@
     };
 
     /// What a target last said before its entry was removed.
-    struct last_word {
+    struct last_report {
         std::int64_t started_at_ms = 0;
         std::uint64_t sequence = 0;
         time_point removed_at;
     };
 
-    /// How long the last word of a removed entry is kept.
-    static constexpr duration last_word_lifetime = 60s;
+    /// How long the last report of a removed entry is kept.
+    static constexpr duration last_report_lifetime = 60s;
 
     bool may_have_lapsed(time_point now) const;
     bool is_outdated(const listed_instance& listed) const;
     void erase(time_point now, const instance_id& id);
+    /// Takes an entry in without rebuilding what is derived from the entries.
+    directory_change store(listed_instance listed);
     void rebuild();
 
     std::map<instance_id, entry> entries_;
-    std::unordered_map<instance_id, last_word> last_words_;
+    std::unordered_map<instance_id, last_report> last_reports_;
     std::unordered_map<service_name, std::vector<listed_instance>> usable_;
+    /// The entry that counts at each target's address.
+    std::map<endpoint, instance_id> by_address_;
     bool is_source_lost_ = false;
     std::optional<time_point> regained_at_;
 };
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -12,11 +12,12 @@
     for (auto& listed : all) {
         present.insert(listed.id);
         const auto id = listed.id;
-        const auto change = put(now, std::move(listed));
+        const auto change = store(std::move(listed));
         if (change != directory_change::none) {
             changes.emplace_back(id, change);
         }
     }
+    rebuild();
     std::vector<instance_id> missing;
     for (const auto& [id, held] : entries_) {
         if (!present.contains(id) && !held.missing_since) {
@@ -33,11 +34,11 @@
     std::int64_t started_at_ms = 0;
     std::uint64_t sequence = 0;
     const auto present = entries_.find(listed.id);
-    const auto past = last_words_.find(listed.id);
+    const auto past = last_reports_.find(listed.id);
     if (present != entries_.end()) {
         started_at_ms = present->second.listed.started_at_ms;
         sequence = present->second.listed.sequence;
-    } else if (past != last_words_.end()) {
+    } else if (past != last_reports_.end()) {
         started_at_ms = past->second.started_at_ms;
         sequence = past->second.sequence;
     }
@@ -46,14 +47,22 @@
 
 void instance_directory::erase(time_point now, const instance_id& id) {
     const auto found = entries_.find(id);
-    last_words_[id] = {found->second.listed.started_at_ms, found->second.listed.sequence, now};
+    last_reports_[id] = {found->second.listed.started_at_ms, found->second.listed.sequence, now};
     entries_.erase(found);
-    std::erase_if(last_words_, [&](const auto& item) {
-        return now - item.second.removed_at > last_word_lifetime;
+    std::erase_if(last_reports_, [&](const auto& item) {
+        return now - item.second.removed_at > last_report_lifetime;
     });
 }
 
-directory_change instance_directory::put(time_point, listed_instance listed) {
+directory_change instance_directory::put(listed_instance listed) {
+    const auto change = store(std::move(listed));
+    if (change != directory_change::none && change != directory_change::outdated) {
+        rebuild();
+    }
+    return change;
+}
+
+directory_change instance_directory::store(listed_instance listed) {
     if (is_outdated(listed)) {
         return directory_change::outdated;
     }
@@ -69,7 +78,6 @@
     const bool starts_draining = listed.state == listed_state::draining &&
                                  (is_new || held.listed.state != listed_state::draining);
     held = entry{std::move(listed), std::nullopt};
-    rebuild();
     if (starts_draining) {
         return directory_change::draining;
     }
@@ -93,7 +101,7 @@
     return directory_change::removed;
 }
 
-void instance_directory::source_lost(time_point) {
+void instance_directory::source_lost() {
     is_source_lost_ = true;
 }
 
@@ -139,14 +147,8 @@
 }
 
 const listed_instance* instance_directory::at_address(const endpoint& target) const {
-    const listed_instance* best = nullptr;
-    for (const auto& [id, held] : entries_) {
-        if (held.listed.target == target &&
-            (best == nullptr || held.listed.started_at_ms > best->started_at_ms)) {
-            best = &held.listed;
-        }
-    }
-    return best;
+    const auto found = by_address_.find(target);
+    return found == by_address_.end() ? nullptr : find(found->second);
 }
 
 std::vector<std::string> instance_directory::ips() const {
@@ -159,9 +161,15 @@
 
 void instance_directory::rebuild() {
     usable_.clear();
+    by_address_.clear();
     for (const auto& [id, held] : entries_) {
-        if (held.listed.state == listed_state::ready) {
-            usable_[held.listed.service].push_back(held.listed);
+        const auto& listed = held.listed;
+        if (listed.state == listed_state::ready) {
+            usable_[listed.service].push_back(listed);
+        }
+        const auto [at, is_first] = by_address_.try_emplace(listed.target, id);
+        if (!is_first && entries_.at(at->second).listed.started_at_ms < listed.started_at_ms) {
+            at->second = id;
         }
     }
 }
--- a/libs/traffic/tests/instance_directory_test.cpp
+++ b/libs/traffic/tests/instance_directory_test.cpp
@@ -31,11 +31,11 @@
 
 TEST_CASE("a draining instance gets no work") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i"));
+    at.directory.put(make_instance("i"));
     CHECK(at.usable() == 1);
     auto leaving = make_instance("i", 2);
     leaving.state = listed_state::draining;
-    CHECK(at.directory.put(at.now, leaving) == directory_change::draining);
+    CHECK(at.directory.put(leaving) == directory_change::draining);
     CHECK(at.usable() == 0);
 }
 
@@ -43,27 +43,27 @@
     directory_at at;
     auto leaving = make_instance("i", 5);
     leaving.state = listed_state::draining;
-    at.directory.put(at.now, leaving);
-    CHECK(at.directory.put(at.now, make_instance("i", 4)) == directory_change::outdated);
+    at.directory.put(leaving);
+    CHECK(at.directory.put(make_instance("i", 4)) == directory_change::outdated);
     CHECK(at.usable() == 0);
     at.directory.remove(at.now, instance_id("i"));
-    CHECK(at.directory.put(at.now, make_instance("i", 4)) == directory_change::outdated);
+    CHECK(at.directory.put(make_instance("i", 4)) == directory_change::outdated);
     CHECK(at.usable() == 0);
 }
 
 TEST_CASE("a target that starts again under its id counts anew") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i", 50));
+    at.directory.put(make_instance("i", 50));
     auto restarted = make_instance("i", 1);
     restarted.started_at_ms = 2000;
-    CHECK(at.directory.put(at.now, restarted) == directory_change::updated);
+    CHECK(at.directory.put(restarted) == directory_change::updated);
     CHECK(at.directory.find(instance_id("i"))->started_at_ms == 2000);
 }
 
 TEST_CASE("everything is kept while the registry is out of reach") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i"));
-    at.directory.source_lost(at.now);
+    at.directory.put(make_instance("i"));
+    at.directory.source_lost();
     at.now += 60s;
     CHECK(at.directory.expire(at.now).empty());
     CHECK(at.usable() == 1);
@@ -71,15 +71,15 @@
 
 TEST_CASE("an entry that lapsed during an outage is held until it comes back") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i"));
-    at.directory.source_lost(at.now);
+    at.directory.put(make_instance("i"));
+    at.directory.source_lost();
     at.now += 5s;
     at.directory.source_regained(at.now);
     at.directory.replace(at.now, {});
     CHECK(at.usable() == 1);
     at.now += 1500ms;
     CHECK(at.directory.expire(at.now).empty());
-    at.directory.put(at.now, make_instance("i", 2));
+    at.directory.put(make_instance("i", 2));
     at.now += 2s;
     CHECK(at.directory.expire(at.now).empty());
     CHECK(at.usable() == 1);
@@ -87,8 +87,8 @@
 
 TEST_CASE("an entry that stays missing after an outage is dropped within two seconds") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i"));
-    at.directory.source_lost(at.now);
+    at.directory.put(make_instance("i"));
+    at.directory.source_lost();
     at.now += 5s;
     at.directory.source_regained(at.now);
     at.directory.replace(at.now, {});
@@ -99,8 +99,8 @@
 
 TEST_CASE("a removal long after an outage counts at once") {
     directory_at at;
-    at.directory.put(at.now, make_instance("i"));
-    at.directory.source_lost(at.now);
+    at.directory.put(make_instance("i"));
+    at.directory.source_lost();
     at.directory.source_regained(at.now);
     at.now += 3s;
     CHECK(at.directory.remove(at.now, instance_id("i")) == directory_change::removed);
@@ -111,18 +111,18 @@
     directory_at at;
     auto leaving = make_instance("i");
     leaving.state = listed_state::draining;
-    at.directory.put(at.now, leaving);
-    at.directory.source_lost(at.now);
+    at.directory.put(leaving);
+    at.directory.source_lost();
     at.directory.source_regained(at.now);
     CHECK(at.directory.remove(at.now, instance_id("i")) == directory_change::removed);
 }
 
 TEST_CASE("of two entries with one address the newer start counts") {
     directory_at at;
-    at.directory.put(at.now, make_instance("old"));
+    at.directory.put(make_instance("old"));
     auto newer = make_instance("new");
     newer.started_at_ms = 3000;
-    at.directory.put(at.now, newer);
+    at.directory.put(newer);
     CHECK(at.directory.at_address({"10.0.0.1", 80})->id.str() == "new");
     CHECK(at.directory.at_address({"10.0.0.1", 81}) == nullptr);
 }
--- a/libs/traffic/tests/placement_test.cpp
+++ b/libs/traffic/tests/placement_test.cpp
@@ -24,7 +24,7 @@
         made.target = {"10.0.0.1", 80};
         made.domain = domain_name(domain);
         made.slots = 10;
-        directory.put(now, made);
+        directory.put(made);
         times[id] = time;
     }
 
