--- a/tests/process/process_site.hpp
+++ b/tests/process/process_site.hpp
@@ -12,10 +12,7 @@
 #include <vector>
 
 #include <arpa/inet.h>
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 #include <uv.h>
 
@@ -26,66 +23,9 @@
 #include <trefoil/http1/header_rules.hpp>
 #include <trefoil/membership/member_list.hpp>
 
-namespace trefoil {
-
-/// One process that a test started; it is ended with the test.
-class child_process {
-public:
-    child_process(std::vector<std::string> arguments, const std::string& log_file) {
-        std::vector<char*> argv;
-        for (auto& argument : arguments) {
-            argv.push_back(argument.data());
-        }
-        argv.push_back(nullptr);
-        posix_spawn_file_actions_t files;
-        posix_spawn_file_actions_init(&files);
-        posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log_file.c_str(),
-                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
-        REQUIRE(posix_spawn(&pid_, argv[0], &files, nullptr, argv.data(), environ) == 0);
-        posix_spawn_file_actions_destroy(&files);
-    }
-
-    ~child_process() {
-        if (is_running()) {
-            ::kill(pid_, SIGCONT);
-            ::kill(pid_, SIGKILL);
-            wait();
-        }
-    }
-
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
-
-    pid_t pid() const { return pid_; }
-
-    void signal(int number) const { ::kill(pid_, number); }
+#include "../support/child_process.hpp"
 
-    bool is_running() {
-        if (status_) {
-            return false;
-        }
-        int status = 0;
-        if (::waitpid(pid_, &status, WNOHANG) == pid_) {
-            status_ = status;
-            return false;
-        }
-        return true;
-    }
-
-    /// Waits for the end; the exit code, or -1 after a signal.
-    int wait() {
-        if (!status_) {
-            int status = 0;
-            ::waitpid(pid_, &status, 0);
-            status_ = status;
-        }
-        return WIFEXITED(*status_) ? WEXITSTATUS(*status_) : -1;
-    }
-
-private:
-    pid_t pid_ = 0;
-    std::optional<int> status_;
-};
+namespace trefoil {
 
 /// Describes one node and its target.
 struct site_member {
