Mark answers of busy instances, and let the level go by time

Change: a gate whose queue has stood for 400 ms marks answers of calls no more important than what waits; the marks travel up to the first leg and lower its level by 3 % a window. What a run shows counts for the windows before it in which none ended, so that many nodes together act as one.

--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -150,6 +150,12 @@
     /// How long a call of this position would wait for its turn.
     duration expected_wait(std::uint32_t position) const;
 
+    /// The position of the last call in the queue, if calls have been waiting without a break for
+    /// `standing_time`. A queue that stands is no burst: more is offered than the target takes.
+    std::optional<std::uint32_t> standing_position(time_point now) const;
+
+    static constexpr duration standing_time = 400ms;
+
     /// The highest position that is admitted at present, plus one.
     std::uint32_t threshold() const;
 
@@ -192,6 +198,8 @@
     std::unordered_map<call_id, std::string> in_flight_;
     std::unordered_map<std::string, std::uint32_t> in_flight_by_kind_;
     std::uint64_t next_sequence_ = 0;
+    /// When calls began to wait; nothing while none does.
+    std::optional<time_point> waiting_since_;
     bool target_is_up_ = true;
 };
 
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -166,6 +166,13 @@
             now + expected_wait(request.position) > request.deadline);
 }
 
+std::optional<std::uint32_t> admission::standing_position(time_point now) const {
+    if (queue_.empty() || !waiting_since_ || now - *waiting_since_ < standing_time) {
+        return std::nullopt;
+    }
+    return std::prev(queue_.end())->first.first;
+}
+
 std::uint32_t admission::threshold() const {
     return settings_.policy.level ? level_.threshold() : admit_all;
 }
@@ -183,6 +190,11 @@
 }
 
 void admission::note_state(time_point now) {
+    if (queue_.empty()) {
+        waiting_since_.reset();
+    } else if (!waiting_since_) {
+        waiting_since_ = now;
+    }
     level_.update(now, {static_cast<std::uint32_t>(in_flight_.size()),
                         static_cast<std::uint32_t>(queue_.size()), limit()});
 }
--- a/libs/admission/tests/admission_test.cpp
+++ b/libs/admission/tests/admission_test.cpp
@@ -176,3 +176,26 @@
     }
     CHECK(at.handed_on().size() == 50);
 }
+
+TEST_CASE("a queue stands only after calls have waited in it without a break") {
+    bench at;
+    auto running = fill(at);
+    const auto step = [&] { at.now += admission::standing_time / 2; };
+    at.offer(700);
+    at.handed_on();
+    CHECK_FALSE(at.admitter.standing_position(at.now).has_value());
+    step();
+    at.offer(300);
+    at.handed_on();
+    step();
+    CHECK(at.admitter.standing_position(at.now) == 700);
+    // Both are handed on, and the queue is empty for a moment.
+    at.finish(running[0]);
+    at.finish(running[1]);
+    CHECK(at.handed_on().size() == 2);
+    CHECK_FALSE(at.admitter.standing_position(at.now).has_value());
+    at.offer(700);
+    at.handed_on();
+    step();
+    CHECK_FALSE(at.admitter.standing_position(at.now).has_value());
+}
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -19,10 +19,11 @@
 /// again; larger ones are passed on as they come.
 inline constexpr std::size_t max_held_body_bytes = 256U << 10U;
 
-/// What is known of the calls that a target made while it ran a request that it then failed.
-enum class failure_below : std::uint8_t {
-    /// It made none that failed.
+/// What is known of the calls that a target made while it ran a request, the worst last.
+enum class state_below : std::uint8_t {
     none,
+    /// One was answered by an instance where requests of its priority had been waiting for long.
+    busy,
     failed,
     /// One was refused for want of room, here or further down.
     no_room,
@@ -35,7 +36,7 @@
     /// True if the body is whole; otherwise pieces follow until message_end or attempt_failure.
     bool is_complete = false;
     std::optional<load_report> load;
-    failure_below below = failure_below::none;
+    state_below below = state_below::none;
 };
 
 /// The request has not run and will not because of this attempt.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -112,7 +112,7 @@
         overloaded{[&](attempt_reply& reply) {
                        const bool is_complete = reply.is_complete;
                        auto extra = load_header();
-                       if (reply.below != failure_below::none) {
+                       if (reply.below != state_below::none) {
                            extra.push_back(
                                {std::string(below_field), std::string(encode_below(reply.below))});
                        }
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -338,8 +338,8 @@
     note_placement(is_error ? attempt_result::answered_error : attempt_result::answered,
                    reply.load);
     const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
-                                    reply.head.status != 504 &&
-                                    reply.below == failure_below::none && !fallback_;
+                                    reply.head.status != 504 && reply.below < state_below::failed &&
+                                    !fallback_;
     if (!is_worth_repeating) {
         deliver(std::move(reply));
         return;
@@ -441,14 +441,19 @@
 }
 
 void outbound_call::tell_parent(call_end how) {
-    if (!parent_ || how == call_end::served || how == call_end::abandoned) {
+    if (!parent_ || how == call_end::abandoned) {
+        return;
+    }
+    if (how == call_end::served) {
+        state_.gate.call_ended(*parent_,
+                               below_ == state_below::busy ? state_below::busy : state_below::none);
         return;
     }
     const bool was_shed_by_target = last_refusal_reached_target_;
-    const bool for_want_of_room =
-        (how == call_end::refused && !was_shed_by_target) || how == call_end::timed_out ||
-        (how == call_end::target_error && below_ == failure_below::no_room);
-    state_.gate.call_failed(*parent_, for_want_of_room);
+    const bool for_want_of_room = (how == call_end::refused && !was_shed_by_target) ||
+                                  how == call_end::timed_out ||
+                                  (how == call_end::target_error && below_ == state_below::no_room);
+    state_.gate.call_ended(*parent_, for_want_of_room ? state_below::no_room : state_below::failed);
 }
 
 void outbound_call::end(call_end how, int status, std::string_view cause) {
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -110,7 +110,7 @@
     duration retry_after_{0};
     std::string last_problem_;
 
-    failure_below below_ = failure_below::none;
+    state_below below_ = state_below::none;
     std::optional<reply_relay> relay_;
     bool is_over_ = false;
     /// Ends the wait at the route's timeout or the caller's deadline.
--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -46,6 +46,7 @@
 
 constexpr std::string_view not_run = "not_run";
 constexpr std::string_view unknown = "unknown";
+constexpr std::string_view below_busy = "busy";
 constexpr std::string_view below_failed = "failed";
 constexpr std::string_view below_no_room = "no_room";
 
@@ -99,15 +100,28 @@
     return std::chrono::milliseconds(value);
 }
 
-std::string_view encode_below(failure_below below) {
-    return below == failure_below::no_room ? below_no_room : below_failed;
+std::string_view encode_below(state_below below) {
+    switch (below) {
+    case state_below::none:
+        return {};
+    case state_below::busy:
+        return below_busy;
+    case state_below::failed:
+        return below_failed;
+    case state_below::no_room:
+        return below_no_room;
+    }
+    return {};
 }
 
-failure_below decode_below(std::string_view text) {
+state_below decode_below(std::string_view text) {
     if (text.empty()) {
-        return failure_below::none;
+        return state_below::none;
+    }
+    if (text == below_busy) {
+        return state_below::busy;
     }
-    return text == below_no_room ? failure_below::no_room : failure_below::failed;
+    return text == below_no_room ? state_below::no_room : state_below::failed;
 }
 
 std::string encode_load(const load_report& load) {
--- a/libs/proxy/src/peer_message.hpp
+++ b/libs/proxy/src/peer_message.hpp
@@ -42,7 +42,7 @@
 inline constexpr std::string_view terms_field = "trefoil-terms";
 /// Field with a verdict, on answers that a proxy makes itself.
 inline constexpr std::string_view verdict_field = "trefoil-verdict";
-/// Field on a target's failure that comes from a call that it made itself.
+/// Field on an answer with what is known of the calls that the target made for it.
 inline constexpr std::string_view below_field = "trefoil-below";
 /// Field with the load, on answers between proxies.
 inline constexpr std::string_view load_field = "trefoil-load";
@@ -59,8 +59,8 @@
 /// Nothing if the text is malformed or negative.
 std::optional<duration> decode_milliseconds(std::string_view text);
 
-std::string_view encode_below(failure_below below);
-failure_below decode_below(std::string_view text);
+std::string_view encode_below(state_below below);
+state_below decode_below(std::string_view text);
 
 std::string encode_load(const load_report& load);
 std::optional<load_report> decode_load(std::string_view text);
--- a/libs/proxy/src/reply_collector.cpp
+++ b/libs/proxy/src/reply_collector.cpp
@@ -21,7 +21,7 @@
                            return end;
                        }
                        return attempt_reply{
-                           std::move(head_), std::move(body_), true, {}, failure_below::none};
+                           std::move(head_), std::move(body_), true, {}, state_below::none};
                    },
                    [&](http1::exchange_failure why) -> result {
                        if (why == http1::exchange_failure::not_sent) {
@@ -43,7 +43,7 @@
         return std::nullopt;
     }
     is_passing_ = true;
-    return attempt_reply{std::move(head_), std::move(body_), false, {}, failure_below::none};
+    return attempt_reply{std::move(head_), std::move(body_), false, {}, state_below::none};
 }
 
 } // namespace trefoil
--- a/libs/proxy/src/target_gate.cpp
+++ b/libs/proxy/src/target_gate.cpp
@@ -106,9 +106,6 @@
     void start() {
         started_ = gate_.now();
         gate_.running_[request_.request_id] = this;
-        if (!request_.terms.is_nested) {
-            gate_.downstream_.began(started_, request_.terms.route, request_.terms.priority);
-        }
         const auto waited = started_ - arrived_;
         const auto left = std::max<duration>(request_.terms.remaining - waited, 1ms);
         set_header(request_.head.headers, gate_.fields_.time_left, encode_milliseconds(left));
@@ -134,16 +131,14 @@
 
     const run_terms& terms() const { return request_.terms; }
 
-    void call_failed(bool for_want_of_room) {
-        if (!for_want_of_room) {
-            below_ = std::max(below_, failure_below::failed);
+    void call_ended(state_below below) {
+        if (below <= below_) {
             return;
         }
-        if (below_ != failure_below::no_room && !request_.terms.is_nested) {
-            gate_.downstream_.call_refused(gate_.now(), request_.terms.route,
-                                           request_.terms.priority);
+        below_ = below;
+        if (below == state_below::no_room) {
+            note_below(room_below::refused);
         }
-        below_ = failure_below::no_room;
     }
 
 private:
@@ -178,7 +173,10 @@
     void judge(attempt_reply reply) {
         const bool is_complete = reply.is_complete;
         const bool is_error = reply.head.status >= 500;
-        reply.below = is_error ? below_ : failure_below::none;
+        reply.below = is_error ? below_ : std::min(below_, state_below::busy);
+        if (request_.terms.is_nested && gate_.is_busy_for(request_.terms)) {
+            reply.below = std::max(reply.below, state_below::busy);
+        }
         auto judged = judge_target_answer(gate_.fields_, request_.terms.repeats, std::move(reply));
         if (auto* refused = std::get_if<attempt_refusal>(&judged)) {
             // Fewer requests than the target's slots were handed to it, so that it does not refuse
@@ -194,6 +192,14 @@
         emit(std::move(judged));
     }
 
+    /// Tells the level what the calls of this run have shown.
+    void note_below(room_below seen) {
+        const auto& terms = request_.terms;
+        if (!terms.is_nested) {
+            gate_.downstream_.note(gate_.now(), terms.route, terms.priority, seen);
+        }
+    }
+
     void forget_running() {
         const auto found = gate_.running_.find(request_.request_id);
         if (found != gate_.running_.end() && found->second == this) {
@@ -204,6 +210,9 @@
     /// The target is done with the request; its slot is free.
     void end_run(service_end end) {
         is_over_ = true;
+        if (below_ != state_below::no_room) {
+            note_below(below_ == state_below::busy ? room_below::busy : room_below::clear);
+        }
         forget_running();
         exchange_.reset();
         gate_.admission_.finished(gate_.now(), call_, {gate_.now() - started_, end});
@@ -224,7 +233,7 @@
     std::unique_ptr<http1::exchange> exchange_;
     reply_collector collector_;
     bool is_over_ = false;
-    failure_below below_ = failure_below::none;
+    state_below below_ = state_below::none;
 };
 
 target_gate::target_gate(uv_loop_s* loop, endpoint target, const call_fields& fields,
@@ -274,13 +283,19 @@
     return found == running_.end() ? nullptr : &found->second->terms();
 }
 
-void target_gate::call_failed(const std::string& request_id, bool for_want_of_room) {
+void target_gate::call_ended(const std::string& request_id, state_below below) {
     const auto found = running_.find(request_id);
     if (found != running_.end()) {
-        found->second->call_failed(for_want_of_room);
+        found->second->call_ended(below);
     }
 }
 
+bool target_gate::is_busy_for(const run_terms& terms) const {
+    const auto waiting = admission_.standing_position(now());
+    return waiting &&
+           std::min(terms.priority, highest_priority_number) >= *waiting / positions_per_priority;
+}
+
 attempt_refusal target_gate::refused(refusal reason, std::uint32_t position) const {
     attempt_refusal result;
     result.reason = reason;
--- a/libs/proxy/src/target_gate.hpp
+++ b/libs/proxy/src/target_gate.hpp
@@ -47,8 +47,8 @@
     /// The terms of the run during which the target makes a call; null if no such run is known.
     const run_terms* terms_of_run(const std::string& request_id) const;
 
-    /// A call that the target made during a run has failed, perhaps for want of room.
-    void call_failed(const std::string& request_id, bool for_want_of_room);
+    /// A call that the target made during a run has ended, and this is known of where it went.
+    void call_ended(const std::string& request_id, state_below below);
 
     /// What the target declares of itself.
     void set_slots(std::uint32_t slots);
@@ -78,6 +78,8 @@
     /// The owner of a waiting or running request has gone.
     void give_up(call_id call, time_point since);
     void arm_timer();
+    /// True if requests no more important than this one have been waiting here for long.
+    bool is_busy_for(const run_terms& terms) const;
     attempt_refusal refused(refusal reason, std::uint32_t position) const;
 
     uv_loop_s* loop_;
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -112,3 +112,10 @@
     CHECK(decode_notice("7 x").requests.empty());
     CHECK(decode_notice("").requests.empty());
 }
+
+TEST_CASE("what is known of the calls below is read as it was written") {
+    for (const auto below :
+         {state_below::none, state_below::busy, state_below::failed, state_below::no_room}) {
+        CHECK(decode_below(encode_below(below)) == below);
+    }
+}
--- a/libs/traffic/include/trefoil/traffic/downstream_level.hpp
+++ b/libs/traffic/include/trefoil/traffic/downstream_level.hpp
@@ -10,19 +10,32 @@
 
 namespace trefoil {
 
+/// What the calls of one run showed of the services below.
+enum class room_below : std::uint8_t {
+    clear,
+    /// A call was answered where requests of its priority had been waiting for long.
+    busy,
+    /// A call was refused for want of room.
+    refused,
+};
+
 /// For each kind of run at one target, the shares of whole requests that are admitted. Answers a
 /// deep service that is short of room: if each of a request's calls were refused at random, hardly
 /// any whole request would finish. The level falls in proportion to the runs that had a call
-/// refused for want of room and rises while none has (additive increase, multiplicative decrease),
-/// faster the longer, so that service is normal soon after a shortage. As all nodes order requests
-/// by the same shares, those admitted here are those that find room below.
+/// refused and rises while none has (additive increase, multiplicative decrease), faster the
+/// longer, so that service is normal soon after a shortage. Calls that were answered where others
+/// had to wait lower it a little, before any is refused, as marks of congestion do (RFC 3168; their
+/// share counts, as in DCTCP, Alizadeh et al. 2010): calls go ahead of callers' own requests there,
+/// which would be served last of all.
+///
+/// Time counts and not the number of runs, so that many nodes with few runs each do together what
+/// one node with all of them would do. As all nodes order requests by the same shares, those
+/// admitted here are those that find room below.
 class downstream_level {
 public:
-    /// A run of the route begins, for a whole request of this priority.
-    void began(time_point now, const std::string& route, std::uint32_t priority);
-
-    /// The first call of a run was refused for want of room.
-    void call_refused(time_point now, const std::string& route, std::uint32_t priority);
+    /// A run of the route for a whole request of this priority has shown what is below: at its end,
+    /// or as soon as a call is refused.
+    void note(time_point now, const std::string& route, std::uint32_t priority, room_below seen);
 
     /// True if a request of this share may run.
     bool admits(time_point now, const std::string& route, std::uint32_t priority,
@@ -44,21 +57,31 @@
     static constexpr std::int64_t steps_per_window = 3;
     /// Part of the share of refused runs by which the level falls.
     static constexpr double fall = 0.5;
+    /// The same for busy runs, for each window.
+    static constexpr double busy_fall = 0.03;
     static constexpr double lowest = 0.05;
     /// Runs in a window below which its refusals say little.
     static constexpr double least_runs = 3;
+    /// Windows without a run after which the level rises, since nothing is known any more.
+    static constexpr std::int64_t longest_silence = 10;
 
     struct state {
         double level = 1;
         time_point window_began;
-        std::uint32_t began = 0;
+        std::uint32_t clear = 0;
+        std::uint32_t busy = 0;
         std::uint32_t refused = 0;
-        /// Windows since the last with a refusal.
-        std::int64_t clean_windows = 0;
+        /// Windows since the last in which a run showed anything.
+        std::int64_t silent_windows = 0;
+        /// Windows in which all was clear, since the last in which it was not.
+        std::int64_t clear_windows = 0;
     };
 
     state& present(time_point now, const std::string& route, std::uint32_t priority);
-    static void close_windows(state& at, std::int64_t count);
+    static void close_window(state& at);
+    /// Windows pass in which no run shows anything.
+    static void rest(state& at, std::int64_t windows);
+    static void rise_for(state& at, std::int64_t windows);
 
     std::map<key, state> states_;
 };
--- a/libs/traffic/tests/allowance_test.cpp
+++ b/libs/traffic/tests/allowance_test.cpp
@@ -157,8 +157,7 @@
     CHECK(level.admits(now, "r", 2, share_count - 1));
     for (int window = 0; window < 10; ++window) {
         for (int i = 0; i < 10; ++i) {
-            level.began(now, "r", 2);
-            level.call_refused(now, "r", 2);
+            level.note(now, "r", 2, room_below::refused);
         }
         now += 100ms;
     }
@@ -187,14 +186,13 @@
         for (int i = 0; i < offered; ++i) {
             const auto share = static_cast<std::uint32_t>(random.below(share_count));
             if (level.admits(now, "r", 2, share)) {
-                level.began(now, "r", 2);
                 admitted.push_back(share);
             }
         }
         std::sort(admitted.begin(), admitted.end());
         const auto fits = std::min<std::size_t>(admitted.size(), room / calls_each);
-        for (std::size_t i = fits; i < admitted.size(); ++i) {
-            level.call_refused(now, "r", 2);
+        for (std::size_t i = 0; i < admitted.size(); ++i) {
+            level.note(now, "r", 2, i < fits ? room_below::clear : room_below::refused);
         }
         if (second >= 100) {
             begun += static_cast<int>(admitted.size());
