Fetch changes of instances together within the drain time

Change: after a watch that brought changes the next one waits 45 % of the drain bound of the settings in place of 250 ms; in the first 6 s of a process 250 ms as before, and not at all after a full read. Ruled out: longer watches, since a lost answer is noticed only at their end and a version must be in force 2 s after the store is stable.

--- a/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
+++ b/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
@@ -31,6 +31,8 @@
     endpoint metrics_listener;
     call_fields fields;
     fleet_repeat_bound repeats;
+    /// Time in which an instance that leaves must be left alone.
+    duration drain_time = 2s;
     /// Time between the signal to stop and the end by force.
     duration stop_time = 6s;
 
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -38,11 +38,13 @@
 /// that a returning store is not met by all nodes at once.
 class registry_follower {
 public:
-    /// `rest` is the time that passes after changes before the next watch. Changes that come
-    /// together, as when a fleet starts, are then fetched together.
+    /// `rest` is the time that passes after a watch has brought changes before the next one.
+    /// Changes that come together are then fetched together.
     explicit registry_follower(std::uint64_t seed, duration rest = {})
         : random_(seed), rest_(rest) {}
 
+    void set_rest(duration rest) { rest_ = rest; }
+
     /// What to do now.
     follow_step next();
 
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -41,7 +41,7 @@
 void registry_follower::succeeded(std::uint64_t revision, bool has_changes) {
     failures_ = 0;
     has_paused_ = false;
-    must_rest_ = has_changes && rest_ > duration{0};
+    must_rest_ = revision_ && has_changes && rest_ > duration{0};
     if (!revision_ || has_changes) {
         revision_ = std::max(revision_.value_or(0), revision);
     }
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -26,20 +26,34 @@
     }
 }
 
-/// Instances come and go in numbers; a version must be in force at once.
-duration rest_of(registry_topic topic) {
-    constexpr duration instances_rest = 250ms;
-    return topic == registry_topic::instances ? instances_rest : duration{0};
+/// After its start a node follows closely, since the instances may have started with it.
+constexpr duration settling_time = 6s;
+constexpr duration settling_rest = 250ms;
+/// Later, changes of this part of the time in which a leaving instance must be left are fetched
+/// together: one that leaves just after an answer is heard of only with the next.
+constexpr double share_of_drain_time = 0.45;
+
+/// Instances come and go in numbers, and each watch that ends wakes the whole fleet. A version must
+/// be in force at once.
+duration rest_of(registry_topic topic, const proxy_settings& settings, bool is_settling) {
+    if (topic != registry_topic::instances) {
+        return duration{0};
+    }
+    const auto rest = duration(static_cast<duration::rep>(
+        static_cast<double>(settings.drain_time.count()) * share_of_drain_time));
+    return is_settling ? std::min(settling_rest, rest) : rest;
 }
 
 } // namespace
 
 registry_view::registry_view(proxy_state& state, registry_client& client, registry_topic topic,
                              std::uint64_t seed)
-    : state_(state), client_(client), topic_(topic), follower_(seed, rest_of(topic)),
+    : state_(state), client_(client), topic_(topic), started_(state.now()), follower_(seed),
       timer_(state.loop, [this] { step(); }) {}
 
 void registry_view::step() {
+    const bool is_settling = state_.now() - started_ < settling_time;
+    follower_.set_rest(rest_of(topic_, state_.settings, is_settling));
     std::visit(overloaded{[&](const read_topic&) {
                               client_.read(topic_, [this](registry_result result) {
                                   finish(std::move(result), true);
--- a/libs/proxy/src/registry_view.hpp
+++ b/libs/proxy/src/registry_view.hpp
@@ -41,6 +41,7 @@
     proxy_state& state_;
     registry_client& client_;
     registry_topic topic_;
+    time_point started_;
     registry_follower follower_;
     std::vector<listed_instance> full_list_;
     bool has_read_ = false;
--- a/libs/proxy/tests/registry_follower_test.cpp
+++ b/libs/proxy/tests/registry_follower_test.cpp
@@ -53,8 +53,13 @@
 TEST_CASE("changes that come together are fetched together") {
     registry_follower follower(1, 250ms);
     follower.succeeded(18, true);
-    CHECK(follower.next() == follow_step(pause_topic{250ms}));
-    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
-    follower.succeeded(18, false);
     CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    follower.succeeded(19, true);
+    CHECK(follower.next() == follow_step(pause_topic{250ms}));
+    CHECK(follower.next() == follow_step(watch_topic{19, registry_follower::watch_wait}));
+    follower.succeeded(19, false);
+    CHECK(follower.next() == follow_step(watch_topic{19, registry_follower::watch_wait}));
+    follower.set_rest(900ms);
+    follower.succeeded(20, true);
+    CHECK(follower.next() == follow_step(pause_topic{900ms}));
 }
