Use only the last listed instance at an address

Change: of several entries at one address only the last listed counts, by the store's revision of its creation, as clocks may jump. When instances are gone callers are told to come back after about a second. Test: two entries at one address (both were used before). The fixture of the placement tests gave all instances one address; each has its own now.

--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -20,8 +20,9 @@
 constexpr duration least_time_for_repeat = 30ms;
 /// Share of the remaining time that a request may be queued once its target latency is over.
 constexpr int late_patience_divisor = 4;
-/// Retry time when no instance is known.
-constexpr duration no_instance_retry = 300ms;
+/// Retry time when the instances that are listed are gone or none is: new ones are listed about a
+/// second after their start.
+constexpr duration no_instance_retry = 1s;
 
 std::string ms_text(duration value) {
     return fmt::format("{:.0f}", to_ms(value));
@@ -309,7 +310,8 @@
     last_refusal_ = refused.reason;
     last_refusal_reached_target_ = refused.reached_target;
     last_problem_ = std::string(name_of(refused.reason));
-    retry_after_ = std::max(retry_after_, refused.retry_after);
+    const bool is_gone = refused.reason == refusal::no_instance;
+    retry_after_ = std::max(retry_after_, is_gone ? no_instance_retry : refused.retry_after);
     try_.reset();
     const bool concerns_all_instances =
         refused.reason == refusal::chain_level || refused.reason == refusal::quarantined;
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -27,6 +27,8 @@
     /// Requests that the target works on at once.
     std::uint32_t slots = 1;
     listed_state state = listed_state::ready;
+    /// Counts the registry's changes up to the one that made this entry; 0 if unknown.
+    std::uint64_t listed_by = 0;
     /// When the target's process started, in milliseconds of its own clock; 0 if unknown.
     std::int64_t started_at_ms = 0;
     /// Counts what the target has said of itself since its start.
@@ -72,13 +74,15 @@
     /// Drops held entries whose time is over and returns them.
     std::vector<instance_id> expire(time_point now);
 
-    /// Instances of a service that may be given work, held ones included.
+    /// Instances of a service that may be given work, held ones included. Of several at one address
+    /// only the last listed counts, since the others' processes are gone: their entries outlive a
+    /// crash for some seconds.
     const std::vector<listed_instance>& usable(const service_name& service) const;
 
     /// The entry of an instance; null if it is not listed.
     const listed_instance* find(const instance_id& id) const;
 
-    /// The entry whose target has this address; null if there is none. A newer start goes first.
+    /// The entry whose target has this address; null if there is none. The last listed one counts.
     const listed_instance* at_address(const endpoint& target) const;
 
     /// Entries, held ones included.
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -4,6 +4,14 @@
 #include <set>
 
 namespace trefoil {
+namespace {
+
+bool is_later(const listed_instance& left, const listed_instance& right) {
+    return std::pair(left.listed_by, left.started_at_ms) >
+           std::pair(right.listed_by, right.started_at_ms);
+}
+
+} // namespace
 
 std::vector<std::pair<instance_id, directory_change>>
 instance_directory::replace(time_point now, std::vector<listed_instance> all) {
@@ -163,14 +171,16 @@
     usable_.clear();
     by_address_.clear();
     for (const auto& [id, held] : entries_) {
-        const auto& listed = held.listed;
+        const auto [at, is_first] = by_address_.try_emplace(held.listed.target, id);
+        if (!is_first && is_later(held.listed, entries_.at(at->second).listed)) {
+            at->second = id;
+        }
+    }
+    for (const auto& [address, id] : by_address_) {
+        const auto& listed = entries_.at(id).listed;
         if (listed.state == listed_state::ready) {
             usable_[listed.service].push_back(listed);
         }
-        const auto [at, is_first] = by_address_.try_emplace(listed.target, id);
-        if (!is_first && entries_.at(at->second).listed.started_at_ms < listed.started_at_ms) {
-            at->second = id;
-        }
     }
 }
 
--- a/libs/traffic/tests/instance_directory_test.cpp
+++ b/libs/traffic/tests/instance_directory_test.cpp
@@ -126,3 +126,19 @@
     CHECK(at.directory.at_address({"10.0.0.1", 80})->id.str() == "new");
     CHECK(at.directory.at_address({"10.0.0.1", 81}) == nullptr);
 }
+
+TEST_CASE("an entry that outlives its target is not used beside that of the next target there") {
+    directory_at at;
+    auto dead = make_instance("z-old");
+    dead.listed_by = 7;
+    auto next = make_instance("a-new");
+    next.listed_by = 9;
+    // Clocks may jump, so that a later target seems to have started earlier.
+    next.started_at_ms = dead.started_at_ms - 500;
+    at.directory.replace(at.now, {dead, next});
+    REQUIRE(at.usable() == 1);
+    CHECK(at.directory.usable(service).front().id == next.id);
+    CHECK(at.directory.at_address(next.target)->id == next.id);
+    at.directory.remove(at.now, next.id);
+    CHECK(at.usable() == 1);
+}
--- a/libs/traffic/tests/placement_test.cpp
+++ b/libs/traffic/tests/placement_test.cpp
@@ -21,7 +21,7 @@
         listed_instance made;
         made.id = instance_id(id);
         made.service = service;
-        made.target = {"10.0.0.1", 80};
+        made.target = {"10.0.0." + std::to_string(times.size() + 1), 80};
         made.domain = domain_name(domain);
         made.slots = 10;
         directory.put(made);
