Follow the whole registry with one watch

Change: one watch for all keys; the two topics are read one after the other and followed from the earlier revision. An answer that holds only keys of no concern moves the revision on, so that it is not asked for again. Ruled out: a longer wait; a lost answer is noticed only at its end.

--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -14,7 +14,7 @@
 
 namespace trefoil {
 
-/// What is read: each topic has changes of its own.
+/// What is read, each with a call of its own.
 enum class registry_topic : std::uint8_t { config, instances };
 
 /// An instance's entry is gone.
@@ -42,6 +42,9 @@
     std::vector<registry_change> changes;
     /// The store's revision that the changes lead to.
     std::uint64_t revision = 0;
+    /// True if the answer held anything at all, also of keys that concern nobody here. An empty
+    /// answer says nothing of changes that a watch has missed.
+    bool has_events = false;
 
     friend bool operator==(const registry_changes&, const registry_changes&) = default;
 };
@@ -62,7 +65,7 @@
 
 using registry_result = std::variant<registry_changes, registry_problem>;
 
-/// Reads the store; implemented by the adapter of a platform. One call at a time for each topic.
+/// Reads the store; implemented by the adapter of a platform. One call at a time.
 class registry_client {
 public:
     using done_handler = std::function<void(registry_result)>;
@@ -72,9 +75,9 @@
     /// Reads everything of the topic. `done` is called once, later.
     virtual void read(registry_topic topic, done_handler done) = 0;
 
-    /// Waits for changes after the revision, at most for `wait`. `done` is called once, later.
-    virtual void watch(registry_topic topic, std::uint64_t after, duration wait,
-                       done_handler done) = 0;
+    /// Waits for changes of any topic after the revision, at most for `wait`. `done` is called
+    /// once, later.
+    virtual void watch(std::uint64_t after, duration wait, done_handler done) = 0;
 };
 
 } // namespace trefoil
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -1,4 +1,4 @@
-// Decides when a topic of the registry is read and watched.
+// Decides when the registry is read and watched.
 #pragma once
 
 #include <cstdint>
@@ -10,32 +10,32 @@
 
 namespace trefoil {
 
-/// Read the whole topic now.
-struct read_topic {
-    friend bool operator==(const read_topic&, const read_topic&) = default;
+/// Read everything now.
+struct read_registry {
+    friend bool operator==(const read_registry&, const read_registry&) = default;
 };
 
 /// Wait for changes after the revision.
-struct watch_topic {
+struct watch_registry {
     std::uint64_t after = 0;
     duration wait{0};
 
-    friend bool operator==(const watch_topic&, const watch_topic&) = default;
+    friend bool operator==(const watch_registry&, const watch_registry&) = default;
 };
 
 /// Do nothing for some time, then ask again.
-struct pause_topic {
+struct pause_registry {
     duration time{0};
 
-    friend bool operator==(const pause_topic&, const pause_topic&) = default;
+    friend bool operator==(const pause_registry&, const pause_registry&) = default;
 };
 
-using follow_step = std::variant<read_topic, watch_topic, pause_topic>;
+using follow_step = std::variant<read_registry, watch_registry, pause_registry>;
 
-/// Follows one topic: a full read, then one watch after the other. A watch continues from the last
-/// revision that brought changes, since an empty answer says nothing of changes that the watch has
-/// missed. After a failure everything is read again, after a pause that grows and has jitter, so
-/// that a returning store is not met by all nodes at once.
+/// Follows the registry: a full read, then one watch after the other. A watch continues from the
+/// last revision that brought changes, since an empty answer says nothing of changes that the watch
+/// has missed. After a failure everything is read again, after a pause that grows and has jitter,
+/// so that a returning store is not met by all nodes at once.
 class registry_follower {
 public:
     /// `rest` is the time that passes after a watch has brought changes before the next one.
@@ -48,8 +48,8 @@
     /// What to do now.
     follow_step next();
 
-    /// The last step gave an answer that leads to the revision.
-    void succeeded(std::uint64_t revision, bool has_changes);
+    /// The last step gave an answer that leads to the revision, empty or not.
+    void succeeded(std::uint64_t revision, bool has_events);
 
     /// The last step failed.
     void failed(registry_problem why);
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -68,9 +68,7 @@
 public:
     impl(uv_loop_t* loop, proxy_settings settings, proxy_sources sources)
         : seed_(seed_of(settings)), state_(loop, std::move(settings), seed_),
-          sources_(std::move(sources)),
-          config_(state_, *sources_.registry, registry_topic::config, seed_ + 2),
-          instances_(state_, *sources_.registry, registry_topic::instances, seed_ + 3),
+          sources_(std::move(sources)), registry_(state_, *sources_.registry, seed_ + 2),
           housekeeping_(loop, [this] { keep_house(); }) {}
 
     ~impl() {
@@ -110,8 +108,7 @@
         watch_signal(SIGINT, [](uv_signal_t* handle, int) { self(handle).stop(); });
         watch_signal(SIGHUP, [](uv_signal_t* handle, int) { self(handle).reload(); });
         housekeeping_.start_repeating(housekeeping_interval);
-        config_.start();
-        instances_.start();
+        registry_.start();
         note_start();
         return absl::OkStatus();
     }
@@ -150,7 +147,7 @@
     }
 
     bool is_ready() const {
-        return !state_.is_stopping && state_.routes != nullptr && instances_.has_read();
+        return !state_.is_stopping && state_.routes != nullptr && registry_.has_read();
     }
 
     void answer_ready(http1::served_request& request) {
@@ -313,8 +310,7 @@
     std::uint64_t seed_;
     proxy_state state_;
     proxy_sources sources_;
-    registry_view config_;
-    registry_view instances_;
+    registry_view registry_;
     std::unique_ptr<http1::server> callers_;
     std::unique_ptr<http1::server> peers_;
     std::unique_ptr<http1::server> ready_;
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -26,23 +26,23 @@
         const auto full = std::min<duration>(
             first_pause * (1U << std::min(failures_ - 1, max_doublings)), longest_pause);
         const auto half = full / 2;
-        return pause_topic{half + duration(static_cast<duration::rep>(
-                                      random_.below(static_cast<std::uint64_t>(half.count()))))};
+        return pause_registry{half + duration(static_cast<duration::rep>(
+                                         random_.below(static_cast<std::uint64_t>(half.count()))))};
     }
     if (!revision_) {
-        return read_topic{};
+        return read_registry{};
     }
     if (std::exchange(must_rest_, false)) {
-        return pause_topic{rest_};
+        return pause_registry{rest_};
     }
-    return watch_topic{*revision_, watch_wait};
+    return watch_registry{*revision_, watch_wait};
 }
 
-void registry_follower::succeeded(std::uint64_t revision, bool has_changes) {
+void registry_follower::succeeded(std::uint64_t revision, bool has_events) {
     failures_ = 0;
     has_paused_ = false;
-    must_rest_ = revision_ && has_changes && rest_ > duration{0};
-    if (!revision_ || has_changes) {
+    must_rest_ = revision_ && has_events && rest_ > duration{0};
+    if (!revision_ || has_events) {
         revision_ = std::max(revision_.value_or(0), revision);
     }
 }
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -7,10 +7,6 @@
 namespace trefoil {
 namespace {
 
-std::string_view name_of(registry_topic topic) {
-    return topic == registry_topic::config ? "config" : "instances";
-}
-
 log_event event_for(directory_change change) {
     switch (change) {
     case directory_change::draining:
@@ -33,12 +29,8 @@
 /// together: one that leaves just after an answer is heard of only with the next.
 constexpr double share_of_drain_time = 0.45;
 
-/// Instances come and go in numbers, and each watch that ends wakes the whole fleet. A version must
-/// be in force at once.
-duration rest_of(registry_topic topic, const proxy_settings& settings, bool is_settling) {
-    if (topic != registry_topic::instances) {
-        return duration{0};
-    }
+/// Instances come and go in numbers, and each watch that ends wakes the whole fleet.
+duration rest_of(const proxy_settings& settings, bool is_settling) {
     const auto rest = duration(static_cast<duration::rep>(
         static_cast<double>(settings.drain_time.count()) * share_of_drain_time));
     return is_settling ? std::min(settling_rest, rest) : rest;
@@ -46,70 +38,89 @@
 
 } // namespace
 
-registry_view::registry_view(proxy_state& state, registry_client& client, registry_topic topic,
-                             std::uint64_t seed)
-    : state_(state), client_(client), topic_(topic), started_(state.now()), follower_(seed),
+registry_view::registry_view(proxy_state& state, registry_client& client, std::uint64_t seed)
+    : state_(state), client_(client), started_(state.now()), follower_(seed),
       timer_(state.loop, [this] { step(); }) {}
 
 void registry_view::step() {
     const bool is_settling = state_.now() - started_ < settling_time;
-    follower_.set_rest(rest_of(topic_, state_.settings, is_settling));
-    std::visit(overloaded{[&](const read_topic&) {
-                              client_.read(topic_, [this](registry_result result) {
-                                  finish(std::move(result), true);
-                              });
-                          },
-                          [&](const watch_topic& watch) {
-                              client_.watch(topic_, watch.after, watch.wait,
-                                            [this](registry_result result) {
-                                                finish(std::move(result), false);
-                                            });
-                          },
-                          [&](const pause_topic& rest) { timer_.start(rest.time); }},
+    follower_.set_rest(rest_of(state_.settings, is_settling));
+    std::visit(overloaded{[&](const read_registry&) { read_config(); },
+                          [&](const watch_registry& next) { watch(next); },
+                          [&](const pause_registry& rest) { timer_.start(rest.time); }},
                follower_.next());
 }
 
-void registry_view::finish(registry_result result, bool is_full_read) {
-    std::visit(overloaded{[&](registry_changes& changes) {
-                              const auto revision = changes.revision;
-                              const bool has_changes = !changes.changes.empty();
-                              note_success();
-                              apply(std::move(changes), is_full_read);
-                              follower_.succeeded(revision, has_changes);
-                          },
-                          [&](registry_problem why) {
-                              note_failure(why);
-                              follower_.failed(why);
-                          }},
-               result);
-    step();
+void registry_view::read_config() {
+    client_.read(registry_topic::config, [this](registry_result result) {
+        auto read = take(std::move(result));
+        if (!read) {
+            step();
+            return;
+        }
+        apply(std::move(read->changes));
+        read_instances(read->revision);
+    });
 }
 
-void registry_view::apply(registry_changes changes, bool is_full_read) {
-    full_list_.clear();
-    for (auto& change : changes.changes) {
-        if (is_full_read && std::holds_alternative<listed_instance>(change)) {
-            full_list_.push_back(std::move(std::get<listed_instance>(change)));
-        } else {
-            apply_change(std::move(change));
+void registry_view::read_instances(std::uint64_t revision) {
+    client_.read(registry_topic::instances, [this, revision](registry_result result) {
+        auto read = take(std::move(result));
+        if (read) {
+            apply_list(std::move(read->changes));
+            has_read_ = true;
+            // Changes of the configuration are followed from its read, which came first.
+            follower_.succeeded(std::min(revision, read->revision), true);
         }
-    }
-    if (is_full_read) {
-        has_read_ = true;
-    }
-    if (topic_ != registry_topic::instances) {
-        own_entry_changed();
-        return;
-    }
-    if (is_full_read) {
-        for (const auto& [id, change] : state_.directory.replace(state_.now(), full_list_)) {
-            note_directory(id, change);
+        step();
+    });
+}
+
+void registry_view::watch(const watch_registry& next) {
+    client_.watch(next.after, next.wait, [this](registry_result result) {
+        auto seen = take(std::move(result));
+        if (seen) {
+            apply(std::move(seen->changes));
+            follower_.succeeded(seen->revision, seen->has_events);
         }
+        step();
+    });
+}
+
+std::optional<registry_changes> registry_view::take(registry_result result) {
+    if (const auto* why = std::get_if<registry_problem>(&result)) {
+        note_failure(*why);
+        follower_.failed(*why);
+        return std::nullopt;
+    }
+    note_success();
+    return std::move(std::get<registry_changes>(result));
+}
+
+void registry_view::apply(std::vector<registry_change> changes) {
+    for (auto& change : changes) {
+        apply_change(std::move(change));
     }
     state_.repeats.set_nodes(state_.directory.size());
     own_entry_changed();
 }
 
+void registry_view::apply_list(std::vector<registry_change> changes) {
+    std::vector<listed_instance> list;
+    std::vector<registry_change> others;
+    for (auto& change : changes) {
+        if (auto* listed = std::get_if<listed_instance>(&change)) {
+            list.push_back(std::move(*listed));
+        } else {
+            others.push_back(std::move(change));
+        }
+    }
+    for (const auto& [id, change] : state_.directory.replace(state_.now(), std::move(list))) {
+        note_directory(id, change);
+    }
+    apply(std::move(others));
+}
+
 void registry_view::apply_change(registry_change change) {
     std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
                           [&](listed_instance& listed) {
@@ -191,36 +202,27 @@
 void registry_view::note_failure(registry_problem why) {
     if (why == registry_problem::history_gone) {
         state_.note(log_class::state, [&] {
-            return log_record{log_event::registry_read_again,
-                              {{"topic", std::string(name_of(topic_))}}};
+            return log_record{log_event::registry_read_again, {}};
         });
         return;
     }
-    if (topic_ == registry_topic::instances) {
-        state_.directory.source_lost();
-    }
+    state_.directory.source_lost();
     if (is_reported_lost_) {
         return;
     }
     is_reported_lost_ = true;
     state_.note(log_class::state, [&] {
-        return log_record{log_event::platform_unreachable,
-                          {{"topic", std::string(name_of(topic_))},
-                           {"cause", std::string(trefoil::name_of(why))}}};
+        return log_record{log_event::platform_unreachable, {{"cause", std::string(name_of(why))}}};
     });
 }
 
 void registry_view::note_success() {
-    if (topic_ == registry_topic::instances) {
-        state_.directory.source_regained(state_.now());
-    }
+    state_.directory.source_regained(state_.now());
     if (!is_reported_lost_) {
         return;
     }
     is_reported_lost_ = false;
-    state_.note(log_class::state, [&] {
-        return log_record{log_event::platform_reachable, {{"topic", std::string(name_of(topic_))}}};
-    });
+    state_.note(log_class::state, [&] { return log_record{log_event::platform_reachable, {}}; });
 }
 
 } // namespace trefoil
--- a/libs/proxy/src/registry_view.hpp
+++ b/libs/proxy/src/registry_view.hpp
@@ -1,7 +1,8 @@
 // Keeps a proxy's beliefs in step with the registry.
 #pragma once
 
-#include <memory>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,11 +14,10 @@
 
 namespace trefoil {
 
-/// Carries out a follower's steps for one topic and applies what they bring.
+/// Carries out the follower's steps and applies what they bring.
 class registry_view {
 public:
-    registry_view(proxy_state& state, registry_client& client, registry_topic topic,
-                  std::uint64_t seed);
+    registry_view(proxy_state& state, registry_client& client, std::uint64_t seed);
     registry_view(const registry_view&) = delete;
     registry_view& operator=(const registry_view&) = delete;
 
@@ -29,8 +29,14 @@
 
 private:
     void step();
-    void finish(registry_result result, bool is_full_read);
-    void apply(registry_changes changes, bool is_full_read);
+    void read_config();
+    void read_instances(std::uint64_t revision);
+    void watch(const watch_registry& step);
+    /// The changes, or nothing after a problem, which is noted.
+    std::optional<registry_changes> take(registry_result result);
+    void apply(std::vector<registry_change> changes);
+    /// Takes a full list in; what is missing in it is gone.
+    void apply_list(std::vector<registry_change> changes);
     void apply_change(registry_change change);
     void apply_config(traffic_config config);
     void note_directory(const instance_id& id, directory_change change);
@@ -40,10 +46,8 @@
 
     proxy_state& state_;
     registry_client& client_;
-    registry_topic topic_;
     time_point started_;
     registry_follower follower_;
-    std::vector<listed_instance> full_list_;
     bool has_read_ = false;
     bool is_reported_lost_ = false;
     std::int64_t own_started_at_ms_ = 0;
--- a/libs/proxy/tests/registry_follower_test.cpp
+++ b/libs/proxy/tests/registry_follower_test.cpp
@@ -6,18 +6,18 @@
 
 TEST_CASE("a follower reads everything, then watches from there") {
     registry_follower follower(1);
-    CHECK(follower.next() == follow_step(read_topic{}));
+    CHECK(follower.next() == follow_step(read_registry{}));
     follower.succeeded(18, true);
-    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{18, registry_follower::watch_wait}));
 }
 
 TEST_CASE("an empty answer does not move the revision, since the watch may have missed changes") {
     registry_follower follower(1);
     follower.succeeded(18, true);
     follower.succeeded(25, false);
-    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{18, registry_follower::watch_wait}));
     follower.succeeded(25, true);
-    CHECK(follower.next() == follow_step(watch_topic{25, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{25, registry_follower::watch_wait}));
 }
 
 TEST_CASE("after a failure everything is read again, after a bounded pause with jitter") {
@@ -26,10 +26,10 @@
     for (int failure = 0; failure < 10; ++failure) {
         follower.failed(registry_problem::unreachable);
         const auto step = follower.next();
-        REQUIRE(std::holds_alternative<pause_topic>(step));
-        CHECK(std::get<pause_topic>(step).time >= 50ms);
-        CHECK(std::get<pause_topic>(step).time <= 600ms);
-        CHECK(follower.next() == follow_step(read_topic{}));
+        REQUIRE(std::holds_alternative<pause_registry>(step));
+        CHECK(std::get<pause_registry>(step).time >= 50ms);
+        CHECK(std::get<pause_registry>(step).time <= 600ms);
+        CHECK(follower.next() == follow_step(read_registry{}));
     }
     CHECK(follower.is_lost());
     follower.succeeded(30, true);
@@ -40,26 +40,26 @@
     registry_follower follower(1);
     follower.succeeded(18, true);
     follower.failed(registry_problem::history_gone);
-    CHECK(follower.next() == follow_step(read_topic{}));
+    CHECK(follower.next() == follow_step(read_registry{}));
 }
 
 TEST_CASE("the revision never goes back") {
     registry_follower follower(1);
     follower.succeeded(18, true);
     follower.succeeded(12, true);
-    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{18, registry_follower::watch_wait}));
 }
 
 TEST_CASE("changes that come together are fetched together") {
     registry_follower follower(1, 250ms);
     follower.succeeded(18, true);
-    CHECK(follower.next() == follow_step(watch_topic{18, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{18, registry_follower::watch_wait}));
     follower.succeeded(19, true);
-    CHECK(follower.next() == follow_step(pause_topic{250ms}));
-    CHECK(follower.next() == follow_step(watch_topic{19, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(pause_registry{250ms}));
+    CHECK(follower.next() == follow_step(watch_registry{19, registry_follower::watch_wait}));
     follower.succeeded(19, false);
-    CHECK(follower.next() == follow_step(watch_topic{19, registry_follower::watch_wait}));
+    CHECK(follower.next() == follow_step(watch_registry{19, registry_follower::watch_wait}));
     follower.set_rest(900ms);
     follower.succeeded(20, true);
-    CHECK(follower.next() == follow_step(pause_topic{900ms}));
+    CHECK(follower.next() == follow_step(pause_registry{900ms}));
 }
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -42,36 +42,29 @@
 class memory_registry : public registry_client {
 public:
     void read(registry_topic topic, done_handler done) override {
-        pending_.push_back([this, topic, done] { done(registry_changes{items[topic], 1}); });
-    }
-    void watch(registry_topic topic, std::uint64_t, duration, done_handler done) override {
-        watches_[topic] = std::move(done);
+        pending_ = [this, topic, done] { done(registry_changes{items[topic], 1, true}); };
     }
+    void watch(std::uint64_t, duration, done_handler done) override { watch_ = std::move(done); }
 
-    /// Runs what the node has asked for.
+    /// Runs what the node asks for until it watches.
     void serve() {
-        auto ready = std::move(pending_);
-        pending_.clear();
-        for (const auto& answer : ready) {
-            answer();
+        while (pending_) {
+            std::exchange(pending_, nullptr)();
         }
     }
 
-    bool is_watched(registry_topic topic) const {
-        const auto found = watches_.find(topic);
-        return found != watches_.end() && found->second != nullptr;
-    }
+    bool is_watched() const { return watch_ != nullptr; }
 
-    void change(registry_topic topic, std::vector<registry_change> changes) {
-        auto done = std::exchange(watches_[topic], nullptr);
-        done(registry_changes{std::move(changes), ++revision_});
+    void change(std::vector<registry_change> changes) {
+        auto done = std::exchange(watch_, nullptr);
+        done(registry_changes{std::move(changes), ++revision_, true});
     }
 
     std::map<registry_topic, std::vector<registry_change>> items;
 
 private:
-    std::vector<std::function<void()>> pending_;
-    std::map<registry_topic, done_handler> watches_;
+    std::function<void()> pending_;
+    done_handler watch_;
     std::uint64_t revision_ = 1;
 };
 
@@ -211,9 +204,9 @@
     }
 
     /// Tells the first machine's node of changes once it watches for them.
-    void change(registry_topic topic, std::vector<registry_change> changes) {
-        REQUIRE(run_until([&] { return registries[0]->is_watched(topic); }));
-        registries[0]->change(topic, std::move(changes));
+    void change(std::vector<registry_change> changes) {
+        REQUIRE(run_until([&] { return registries[0]->is_watched(); }));
+        registries[0]->change(std::move(changes));
     }
 
     bool run_until(const std::function<bool()>& condition) {
@@ -283,7 +276,7 @@
 
 TEST_CASE("a target that leaves gets nothing more; the other machine's takes over") {
     two_machines site;
-    site.change(registry_topic::instances, {site.instance(0, listed_state::draining)});
+    site.change({site.instance(0, listed_state::draining)});
     for (int i = 0; i < 5; ++i) {
         CHECK(site.ask("/write/" + std::to_string(i)).status == 200);
     }
@@ -343,7 +336,7 @@
 
 TEST_CASE("a client that goes away ends the run at the target of another machine") {
     two_machines site;
-    site.change(registry_topic::instances, {instance_removed{instance_id("i0")}});
+    site.change({instance_removed{instance_id("i0")}});
     reply got;
     site.send(got, "/read/hang");
     REQUIRE(site.run_until([&] { return site.reached(1) == 1; }));
@@ -356,15 +349,15 @@
     CHECK(site.ask("/none/1").status == 404);
     auto next = site.config(2);
     next.routes.pop_back();
-    site.change(registry_topic::config, {next});
+    site.change({next});
     CHECK(site.ask("/write/1").status == 404);
-    site.change(registry_topic::config, {site.config(1)});
+    site.change({site.config(1)});
     CHECK(site.ask("/write/1").status == 404);
 }
 
 TEST_CASE("an item that can't be read leaves the last good one in force") {
     two_machines site;
-    site.change(registry_topic::config, {unreadable_item{"k", "version: bad", {}}});
+    site.change({unreadable_item{"k", "version: bad", {}}});
     CHECK(site.ask("/read/1").status == 200);
 }
 
@@ -433,7 +426,7 @@
 // own connection out of the queue ends with it, in the middle of being queued.
 TEST_CASE("a request whose connection ends while it is queued leaves nothing behind") {
     two_machines site;
-    site.change(registry_topic::instances, {instance_removed{instance_id("i1")}});
+    site.change({instance_removed{instance_id("i1")}});
     std::raise(SIGTERM);
     reply ready;
     REQUIRE(site.run_until([&] {
