--- a/tools/trefoil-report/main.cpp
+++ b/tools/trefoil-report/main.cpp
@@ -10,6 +10,8 @@
 #include <trefoil/report/burn.hpp>
 #include <trefoil/settings/tool_main.hpp>
 
+#include "trace.hpp"
+
 using namespace trefoil;
 
 namespace {
@@ -131,9 +133,13 @@
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    if (argc > 1 && std::string_view(argv[1]) == "trace") {
+        return run_trace(argc - 1, argv + 1);
+    }
     report_options report;
     option_set options("trefoil-report",
-                       "service-level burn; arguments are nodes' admin addresses");
+                       "service-level burn; arguments are nodes' admin addresses. "
+                       "`trefoil-report trace ID LOG...` tells what happened to a request");
     options.add_text("table", &report.table_file, "file with the table that has the objectives",
                      true);
     options.add_text("saved", &report.saved_file, "file of saved scrapes to read instead of nodes",
