--- /dev/null
+++ b/libs/base/include/trefoil/base/read_file.hpp
@@ -0,0 +1,12 @@
+// Reads files.
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace trefoil {
+
+/// All bytes of a file; nothing if it can't be opened.
+std::optional<std::string> read_file(const std::string& path);
+
+} // namespace trefoil
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -67,7 +67,7 @@
     if (!read_terms()) {
         return;
     }
-    timer_.start(give_up_at_ - state_.now());
+    timer_.start(terms_.give_up_at - state_.now());
     const auto self = shared_from_this();
     request_->set_handlers({[self] { self->body_arrived(); }, [self] { self->client_gone(); },
                             [self] {
@@ -79,50 +79,18 @@
 }
 
 bool outbound_call::read_terms() {
-    const auto& head = request_->head();
-    if (state_.routes == nullptr) {
-        refuse(refusal::no_table);
-        return false;
+    auto read = read_call_terms(state_, request_->head(), request_id_, arrived_);
+    if (auto* terms = std::get_if<call_terms>(&read)) {
+        terms_ = std::move(*terms);
+        return true;
     }
-    config_version_ = state_.routes->config().version;
-    route_ = state_.routes->find(find_header(head.headers, "host"), head.target);
-    if (route_ == nullptr) {
+    if (std::get<no_terms>(read) == no_terms::no_config) {
+        refuse(refusal::no_table);
+    } else {
         answer(own_answer(404));
         end(call_end::refused, 404, "no_route");
-        return false;
-    }
-    const auto& fields = state_.settings.fields;
-    const auto left = decode_milliseconds(find_header(head.headers, fields.time_left));
-    give_up_at_ = arrived_ + std::min(left.value_or(route_->timeout), route_->timeout);
-    service_ = state_.rotation.next(*route_);
-    state_.repeats.requested(arrived_, service_);
-    read_place_in_tree(left.value_or(route_->timeout));
-    headers_ = end_to_end(head.headers);
-    std::erase_if(headers_, [&](const http_header& field) {
-        return is_peer_field(field.name) || field.name == fields.expected_instance;
-    });
-    set_header(headers_, fields.caller_service, state_.settings.service.str());
-    return true;
-}
-
-void outbound_call::read_place_in_tree(duration time_left) {
-    parent_ = parent_of(request_id_);
-    priority_ = route_->priority;
-    share_ = share_of(request_id_);
-    if (!parent_) {
-        share_ = state_.returning.place(arrived_, route_->name, share_, time_left);
-        return;
-    }
-    const auto* above = state_.gate.terms_of_run(*parent_);
-    if (above == nullptr) {
-        return;
-    }
-    priority_ = above->priority;
-    share_ = above->share;
-    is_in_repeat_ = above->is_repeat;
-    if (is_in_repeat_) {
-        state_.repeats.repeated_above(arrived_, service_);
     }
+    return false;
 }
 
 void outbound_call::body_arrived() {
@@ -163,43 +131,39 @@
     end(call_end::abandoned, 0, "client_closed");
 }
 
-bool outbound_call::is_idempotent() const {
-    return route_->repeats == repeatability::idempotent;
-}
-
 duration outbound_call::elapsed() const {
     return state_.now() - arrived_;
 }
 
 placement_request outbound_call::place_request() const {
-    return {service_, route_->name, route_->target_latency, excluded_};
+    return {terms_.service, terms_.via->name, terms_.via->target_latency, excluded_};
 }
 
 run_terms outbound_call::terms_now() const {
     run_terms terms;
-    terms.route = route_->name;
-    terms.priority = priority_;
-    terms.share = share_;
-    terms.is_nested = parent_.has_value();
-    terms.is_repeat = is_in_repeat_ || reached_targets_ > 1;
-    terms.repeats = route_->repeats;
-    terms.remaining = std::max<duration>(give_up_at_ - state_.now(), 1ms);
-    const auto useful = route_->target_latency - elapsed();
+    terms.route = terms_.via->name;
+    terms.priority = terms_.priority;
+    terms.share = terms_.share;
+    terms.is_nested = terms_.parent.has_value();
+    terms.is_repeat = terms_.is_in_repeat || reached_targets_ > 1;
+    terms.repeats = terms_.via->repeats;
+    terms.remaining = std::max<duration>(terms_.give_up_at - state_.now(), 1ms);
+    const auto useful = terms_.via->target_latency - elapsed();
     terms.useful = useful > duration{0} ? useful : terms.remaining / late_patience_divisor;
     return terms;
 }
 
 bool outbound_call::may_repeat() {
-    if (reached_targets_ >= route_->max_attempts || tries_made_ >= max_tries) {
+    if (reached_targets_ >= terms_.via->max_attempts || tries_made_ >= max_tries) {
         return false;
     }
-    if (may_have_run_ && !is_idempotent()) {
+    if (may_have_run_ && !terms_.is_idempotent()) {
         return false;
     }
     if (tries_made_ == 0) {
         return true;
     }
-    return !is_body_streamed_ && give_up_at_ - state_.now() > least_time_for_repeat;
+    return !is_body_streamed_ && terms_.give_up_at - state_.now() > least_time_for_repeat;
 }
 
 void outbound_call::next_try() {
@@ -217,7 +181,8 @@
         return;
     }
     const bool is_repeat = reached_targets_ > 0;
-    if (is_repeat && !state_.repeats.take(state_.now(), service_, priority_, share_)) {
+    if (is_repeat &&
+        !state_.repeats.take(state_.now(), terms_.service, terms_.priority, terms_.share)) {
         state_.metrics.repeated("not_allowed");
         conclude();
         return;
@@ -230,7 +195,7 @@
     http1::request_head head;
     head.method = original.method;
     head.target = original.target;
-    head.headers = headers_;
+    head.headers = terms_.headers;
     set_header(head.headers, state_.settings.fields.expected_instance, instance.id.str());
     if (is_body_whole_) {
         const bool has_body = !body_.empty() || original.framing != http1::body_end::none;
@@ -252,7 +217,7 @@
         state_.note(log_class::trouble, [&] {
             return log_record{log_event::attempt_repeated,
                               {{"id", request_id_},
-                               {"route", route_->name},
+                               {"route", terms_.via->name},
                                {"after", last_problem_},
                                {"try", std::to_string(tries_made_)},
                                {"instance", instance.id.str()},
@@ -304,7 +269,7 @@
     if (!refused.reached_target) {
         --reached_targets_;
         if (try_->is_repeat) {
-            state_.repeats.give_back(state_.now(), service_);
+            state_.repeats.give_back(state_.now(), terms_.service);
         }
     }
     last_refusal_ = refused.reason;
@@ -339,7 +304,7 @@
     const bool is_error = reply.head.status >= 500;
     note_placement(is_error ? attempt_result::answered_error : attempt_result::answered,
                    reply.load);
-    const bool is_worth_repeating = is_error && reply.is_complete && is_idempotent() &&
+    const bool is_worth_repeating = is_error && reply.is_complete && terms_.is_idempotent() &&
                                     reply.head.status != 504 && reply.below < state_below::failed &&
                                     !fallback_;
     if (!is_worth_repeating) {
@@ -404,7 +369,7 @@
 }
 
 void outbound_call::refuse(refusal reason) {
-    const auto priority = route_ == nullptr ? 0 : route_->priority;
+    const auto priority = terms_.via == nullptr ? 0 : terms_.via->priority;
     const auto retry = retry_time(retry_after_, priority, state_.random);
     state_.metrics.refused_here(reason);
     answer(refusal_answer(retry));
@@ -429,7 +394,7 @@
         return log_record{change.event == ejection_event::ejected ? log_event::instance_ejected
                                                                   : log_event::instance_returned,
                           {{"instance", change.instance.str()},
-                           {"service", service_.str()},
+                           {"service", terms_.service.str()},
                            {"id", request_id_},
                            {"after", last_problem_}}};
     });
@@ -443,11 +408,11 @@
 }
 
 void outbound_call::tell_parent(call_end how) {
-    if (!parent_ || how == call_end::abandoned) {
+    if (!terms_.parent || how == call_end::abandoned) {
         return;
     }
     if (how == call_end::served) {
-        state_.gate.call_ended(*parent_,
+        state_.gate.call_ended(*terms_.parent,
                                below_ == state_below::busy ? state_below::busy : state_below::none);
         return;
     }
@@ -455,7 +420,8 @@
     const bool for_want_of_room = (how == call_end::refused && !was_shed_by_target) ||
                                   how == call_end::timed_out ||
                                   (how == call_end::target_error && below_ == state_below::no_room);
-    state_.gate.call_ended(*parent_, for_want_of_room ? state_below::no_room : state_below::failed);
+    state_.gate.call_ended(*terms_.parent,
+                           for_want_of_room ? state_below::no_room : state_below::failed);
 }
 
 void outbound_call::end(call_end how, int status, std::string_view cause) {
@@ -464,8 +430,8 @@
     timer_.stop();
     tell_parent(how);
     const auto took = elapsed();
-    if (how == call_end::served && route_->target_latency > duration{0} &&
-        took > route_->target_latency) {
+    if (how == call_end::served && terms_.via->target_latency > duration{0} &&
+        took > terms_.via->target_latency) {
         how = call_end::served_late;
     }
     const bool was_relayed =
@@ -477,13 +443,13 @@
         drop_try();
     }
     request_->set_handlers({});
-    const std::string route_name = route_ == nullptr ? "" : route_->name;
-    state_.metrics.ended(route_ == nullptr ? "none" : route_name, how, took);
+    const std::string route_name = terms_.via == nullptr ? "" : terms_.via->name;
+    state_.metrics.ended(terms_.via == nullptr ? "none" : route_name, how, took);
     state_.note(class_of(how), [&] {
-        return to_record({request_id_, route_name, service_, instance, how, status,
+        return to_record({request_id_, route_name, terms_.service, instance, how, status,
                           std::string(cause), tries_made_, took,
-                          route_ == nullptr ? duration{0} : give_up_at_ - arrived_,
-                          config_version_});
+                          terms_.via == nullptr ? duration{0} : terms_.give_up_at - arrived_,
+                          terms_.config_version});
     });
 }
 
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -9,10 +9,10 @@
 
 #include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
-#include <trefoil/traffic/call_tree.hpp>
 #include <trefoil/traffic/placement.hpp>
 
 #include "attempt.hpp"
+#include "call_terms.hpp"
 #include "peer_message.hpp"
 #include "proxy_metrics.hpp"
 #include "proxy_state.hpp"
@@ -43,7 +43,6 @@
 
     void start();
     bool read_terms();
-    void read_place_in_tree(duration time_left);
     void body_arrived();
     void send_more_body();
     void client_gone();
@@ -73,23 +72,13 @@
     void drop_try();
     void end(call_end how, int status, std::string_view cause);
     duration elapsed() const;
-    bool is_idempotent() const;
 
     proxy_state& state_;
     std::shared_ptr<http1::served_request> request_;
-    std::shared_ptr<const route> route_;
-    std::uint64_t config_version_ = 0;
-    service_name service_;
+    /// Without a route until they are read.
+    call_terms terms_;
     std::string request_id_;
-    /// The request during which the own target made this call.
-    std::optional<std::string> parent_;
-    std::uint32_t priority_ = 0;
-    std::uint32_t share_ = 0;
-    bool is_in_repeat_ = false;
     time_point arrived_;
-    time_point give_up_at_;
-    /// Headers that are passed on, without the instance's.
-    std::vector<http_header> headers_;
     /// The body as far as it was taken from the client and may have to be sent again.
     std::string body_;
     bool is_body_whole_ = false;
--- a/tests/standins/fake_platform_main.cpp
+++ b/tests/standins/fake_platform_main.cpp
@@ -2,8 +2,6 @@
 // listener, for the operator of a test, publishes documents, sets faults and counts the calls.
 #include <charconv>
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <list>
 #include <map>
 
@@ -11,6 +9,7 @@
 #include <uv.h>
 
 #include <trefoil/base/overloaded.hpp>
+#include <trefoil/base/read_file.hpp>
 #include <trefoil/http/http_server.hpp>
 #include <trefoil/settings/tool_main.hpp>
 
@@ -27,11 +26,6 @@
     std::string instances_file;
 };
 
-std::string read_file(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
 // The number behind `name=` in a query, or 0.
 std::uint64_t query_number(std::string_view path, std::string_view name) {
     const auto at = path.find(fmt::format("{}=", name));
@@ -49,8 +43,8 @@
     explicit fake_platform(platform_options options) : options_(std::move(options)) {}
 
     int run() {
-        publish("table", read_file(options_.table_file));
-        publish("instances", read_file(options_.instances_file));
+        publish("table", read_file(options_.table_file).value());
+        publish("instances", read_file(options_.instances_file).value());
         auto reads = http_server::listen(
             uv_default_loop(), *options_.listen, {},
             [this](exchange_id id, const http_request& request) { on_read(id, request); },
--- a/tools/trefoil-report/main.cpp
+++ b/tools/trefoil-report/main.cpp
@@ -1,11 +1,11 @@
 // Reports service-level burn from nodes' admin listeners or from saved scrapes.
 #include <csignal>
 #include <fstream>
-#include <iterator>
 
 #include <fmt/format.h>
 #include <uv.h>
 
+#include <trefoil/base/read_file.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/report/burn.hpp>
 #include <trefoil/settings/tool_main.hpp>
@@ -26,11 +26,6 @@
     bool json = false;
 };
 
-std::string read_file(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    return {std::istreambuf_iterator<char>(in), {}};
-}
-
 // Reads every node's /metrics again and again and gives the pages in the form of saved scrapes.
 class scraper {
 public:
@@ -91,7 +86,12 @@
 };
 
 int print_report(const report_options& options, const std::string& scrapes) {
-    const auto parsed = parse_table(read_file(options.table_file));
+    const auto text = read_file(options.table_file);
+    if (!text) {
+        fmt::print(stderr, "{}: can't be read\n", options.table_file);
+        return exit_bad_settings;
+    }
+    const auto parsed = parse_table(*text);
     if (const auto* errors = std::get_if<table_errors>(&parsed)) {
         for (const auto& error : *errors) {
             fmt::print(stderr, "{}: {}\n", options.table_file, to_string(error));
@@ -111,7 +111,12 @@
 
 int run(const report_options& options, const run_program& program) {
     if (!options.saved_file.empty()) {
-        return print_report(options, read_file(options.saved_file));
+        const auto saved = read_file(options.saved_file);
+        if (!saved) {
+            fmt::print(stderr, "{}: can't be read\n", options.saved_file);
+            return exit_bad_settings;
+        }
+        return print_report(options, *saved);
     }
     std::vector<endpoint> nodes;
     for (const auto& text : program.positional) {
--- a/tools/trefoil-table/main.cpp
+++ b/tools/trefoil-table/main.cpp
@@ -1,7 +1,5 @@
 // Checks, compares and explains tables, and asks nodes which one is in force.
-#include <fstream>
 #include <functional>
-#include <iterator>
 #include <map>
 
 #include <fmt/format.h>
@@ -9,6 +7,7 @@
 
 #include <trefoil/base/error.hpp>
 #include <trefoil/base/overloaded.hpp>
+#include <trefoil/base/read_file.hpp>
 #include <trefoil/http/http_client.hpp>
 #include <trefoil/operate/node_state.hpp>
 #include <trefoil/operate/table_commands.hpp>
@@ -32,14 +31,6 @@
 
 using arguments = std::vector<std::string>;
 
-std::optional<std::string> read_file(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    if (!in) {
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
-}
-
 /// Reads all files and hands them on; a file that can't be read ends the command.
 command_result with_files(const arguments& paths,
                           const std::function<command_result(const arguments&)>& command) {
