--- a/libs/report/src/request_story.cpp
+++ b/libs/report/src/request_story.cpp
@@ -71,8 +71,9 @@
 }
 
 log_archive::log_archive(std::vector<log_line> lines) : lines_(std::move(lines)) {
-    std::stable_sort(lines_.begin(), lines_.end(),
-                     [](const log_line& left, const log_line& right) { return left.at < right.at; });
+    std::stable_sort(lines_.begin(), lines_.end(), [](const log_line& left, const log_line& right) {
+        return left.at < right.at;
+    });
 }
 
 std::vector<std::string> log_archive::unserved() const {
@@ -105,9 +106,10 @@
 }
 
 void log_archive::explain(request_story& story) const {
-    const auto end = std::find_if(
-        story.lines.rbegin(), story.lines.rend(),
-        [&](const log_line& line) { return is_end(line) && line.field("id") == story.id; });
+    const auto end =
+        std::find_if(story.lines.rbegin(), story.lines.rend(), [&](const log_line& line) {
+            return is_end(line) && line.field("id") == story.id;
+        });
     if (end == story.lines.rend()) {
         return;
     }
@@ -225,9 +227,8 @@
         const bool is_near = line.at <= end.at + clock_slack && line.at >= end.at - look_back;
         const bool is_wanted = std::any_of(events.begin(), events.end(),
                                            [&](log_event event) { return is(line, event); });
-        const bool names_it =
-            std::any_of(line.fields.begin(), line.fields.end(),
-                        [&](const auto& field) { return field.second == value; });
+        const bool names_it = std::any_of(line.fields.begin(), line.fields.end(),
+                                          [&](const auto& field) { return field.second == value; });
         const bool is_free = story.evidence.size() < most_evidence;
         if (is_near && is_wanted && names_it && is_free) {
             story.evidence.push_back(line);
--- a/libs/report/tests/request_story_test.cpp
+++ b/libs/report/tests/request_story_test.cpp
@@ -8,14 +8,16 @@
 
 namespace {
 
-const std::string caller_log = R"(2026-04-17T11:22:16.941Z 6001 call_refused id=a1 route=r1 service=front instance=- end=refused status=503 cause=chain_level tries=1 took_ms=2 limit_ms=1008 config=19
+const std::string caller_log =
+    R"(2026-04-17T11:22:16.941Z 6001 call_refused id=a1 route=r1 service=front instance=- end=refused status=503 cause=chain_level tries=1 took_ms=2 limit_ms=1008 config=19
 not a line of a log
 2026-04-17T11:22:17.100Z 6002 call_failed id=b2 route=r1 service=front instance=i-1 end=target_error status=500 cause=- tries=1 took_ms=80 limit_ms=1500 config=19
 2026-04-17T11:22:18.000Z 6002 call_failed id=c3 route=r2 service=front instance=- end=failed status=502 cause=connection_lost tries=1 took_ms=5 limit_ms=1500 config=19
 2026-04-17T11:22:19.000Z 6004 call_served_late id=d4 route=r1 service=front instance=i-2 end=served_late status=200 cause=- tries=2 took_ms=1548 limit_ms=3000 config=19
 )";
 
-const std::string deep_log = R"(2026-04-17T11:22:16.500Z 6007 run_refused id=z9.1 route=r9 verdict="not_run overload 0 11" in_flight=18 queued=3 limit=18
+const std::string deep_log =
+    R"(2026-04-17T11:22:16.500Z 6007 run_refused id=z9.1 route=r9 verdict="not_run overload 0 11" in_flight=18 queued=3 limit=18
 2026-04-17T11:22:17.050Z 6001 call_refused id=b2.7.8 route=r9 service=deep instance=- end=refused status=503 cause=deadline tries=2 took_ms=20 limit_ms=700 config=19
 2026-04-17T11:22:17.080Z 6002 call_failed id=b2.7 route=r8 service=middle instance=i-5 end=target_error status=500 cause=- tries=1 took_ms=60 limit_ms=900 config=19
 2026-04-17T11:22:17.990Z 6008 run_failed id=c3 route=r2 verdict="unknown connection_lost 0 0" in_flight=1 queued=0 limit=18
@@ -34,7 +36,8 @@
 
 TEST_CASE("a line is read with its quoted values") {
     const auto line = parse_log_line(
-        R"(2026-04-17T11:22:16.500Z 6007 run_refused id=z verdict="not_run \"x\" 0" limit=18)", "f");
+        R"(2026-04-17T11:22:16.500Z 6007 run_refused id=z verdict="not_run \"x\" 0" limit=18)",
+        "f");
     REQUIRE(line.has_value());
     CHECK(line->number == 6007);
     CHECK(line->name == "run_refused");
