Rest between watches within the bound for configurations too

Cause: the one watch rests for 45 % of the drain bound after changes, and configurations come by it as well; where the bound for them is the lesser one, a version could have come too late. Change: the lesser of both bounds of the settings counts. The choice is a function of its own with a test, which names the case (it would have rested 2.25 s with a bound of 1 s).

--- a/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
+++ b/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
@@ -33,6 +33,8 @@
     fleet_repeat_bound repeats;
     /// Time in which an instance that leaves must be left alone.
     duration drain_time = 2s;
+    /// Time in which a new configuration must be in force.
+    duration config_time = 2s;
     /// Time between the signal to stop and the end by force.
     duration stop_time = 6s;
 
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -30,6 +30,12 @@
     friend bool operator==(const pause_registry&, const pause_registry&) = default;
 };
 
+/// How long a watch that brought changes is followed by none. Instances come and go in numbers, and
+/// each watch that ends wakes the whole fleet, so changes are fetched together; but an instance
+/// that leaves, or a configuration that comes, just after an answer is heard of only with the next,
+/// and must be heeded within these times. A node that has just started rests for less.
+duration rest_between_watches(duration drain_time, duration config_time, bool is_settling);
+
 using follow_step = std::variant<read_registry, watch_registry, pause_registry>;
 
 /// Follows the registry: a full read, then one watch after the other. A watch continues from the
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -242,6 +242,8 @@
                                    read->domain != state_.settings.domain;
         state_.settings.service = read->service;
         state_.settings.stop_time = read->stop_time;
+        state_.settings.drain_time = read->drain_time;
+        state_.settings.config_time = read->config_time;
         if (read->repeats != state_.settings.repeats) {
             state_.settings.repeats = read->repeats;
             state_.repeats = repeat_allowance(read->repeats);
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -19,6 +19,14 @@
     return "unknown";
 }
 
+duration rest_between_watches(duration drain_time, duration config_time, bool is_settling) {
+    constexpr double resting_share = 0.45;
+    constexpr duration settling_rest = 250ms;
+    const auto allowed = static_cast<double>(std::min(drain_time, config_time).count());
+    const duration rest(static_cast<duration::rep>(allowed * resting_share));
+    return is_settling ? std::min(settling_rest, rest) : rest;
+}
+
 follow_step registry_follower::next() {
     if (failures_ > 0 && !has_paused_) {
         has_paused_ = true;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -24,17 +24,6 @@
 
 /// After its start a node follows closely, since the instances may have started with it.
 constexpr duration settling_time = 6s;
-constexpr duration settling_rest = 250ms;
-/// Later, changes of this part of the time in which a leaving instance must be left are fetched
-/// together: one that leaves just after an answer is heard of only with the next.
-constexpr double share_of_drain_time = 0.45;
-
-/// Instances come and go in numbers, and each watch that ends wakes the whole fleet.
-duration rest_of(const proxy_settings& settings, bool is_settling) {
-    const auto rest = duration(static_cast<duration::rep>(
-        static_cast<double>(settings.drain_time.count()) * share_of_drain_time));
-    return is_settling ? std::min(settling_rest, rest) : rest;
-}
 
 } // namespace
 
@@ -44,7 +33,9 @@
 
 void registry_view::step() {
     const bool is_settling = state_.now() - started_ < settling_time;
-    follower_.set_rest(rest_of(state_.settings, is_settling));
+    const auto& settings = state_.settings;
+    follower_.set_rest(
+        rest_between_watches(settings.drain_time, settings.config_time, is_settling));
     std::visit(overloaded{[&](const read_registry&) { read_config(); },
                           [&](const watch_registry& next) { watch(next); },
                           [&](const pause_registry& rest) { timer_.start(rest.time); }},
--- a/libs/proxy/tests/registry_follower_test.cpp
+++ b/libs/proxy/tests/registry_follower_test.cpp
@@ -63,3 +63,11 @@
     follower.succeeded(20, true);
     CHECK(follower.next() == follow_step(pause_registry{900ms}));
 }
+
+TEST_CASE("the rest leaves half of the time to leave an instance or to apply a configuration") {
+    CHECK(rest_between_watches(2s, 2s, false) == 900ms);
+    CHECK(rest_between_watches(5s, 1s, false) == 450ms);
+    CHECK(rest_between_watches(400ms, 2s, false) == 180ms);
+    CHECK(rest_between_watches(2s, 2s, true) == 250ms);
+    CHECK(rest_between_watches(400ms, 2s, true) == 180ms);
+}
