--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -74,6 +74,9 @@
         return WIFEXITED(*status_) ? WEXITSTATUS(*status_) : -1;
     }
 
+    /// The signal that ended the process; 0 if it ended otherwise or runs.
+    int ending_signal() const { return status_ && WIFSIGNALED(*status_) ? WTERMSIG(*status_) : 0; }
+
 private:
     pid_t pid_ = 0;
     std::optional<int> status_;
