Log how long the store was silent before a version took force

When a version is late, the log showed only when it took force.

2008 config_in_force and 2003 platform_unreachable now name the call and how long it took; both and 2004 platform_reachable say how long the store had been silent, and 2004 how many calls had failed. A gauge gives the time since the store's last answer. No logic changes.

--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -66,6 +66,9 @@
     /// gone does not count as a failure.
     bool is_failing() const { return failures_ > 0; }
 
+    /// Number of consecutive failures.
+    std::uint32_t failures() const { return failures_; }
+
     /// Maximum duration of one watch. A dead connection is detected after this time.
     static constexpr duration max_watch_wait = 3500ms;
 
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -177,12 +177,14 @@
                            "trefoil_peer_connections_total {}\n"
                            "# TYPE trefoil_config_version gauge\n"
                            "trefoil_config_version {}\n"
+                           "# TYPE trefoil_registry_answer_age_seconds gauge\n"
+                           "trefoil_registry_answer_age_seconds {}\n"
                            "# TYPE trefoil_instances gauge\n"
                            "trefoil_instances {}\n",
                            load.in_flight, load.queued, load.limit, target.connections_opened,
                            peers.connections_opened,
                            state_.routes == nullptr ? 0 : state_.routes->config().version,
-                           state_.directory.size());
+                           to_seconds(registry_.answer_age()), state_.directory.size());
     }
 
     void run_housekeeping() {
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -26,6 +26,10 @@
 /// instances may have been started together with it.
 constexpr duration startup_period = 6s;
 
+std::string ms_text(duration value) {
+    return std::to_string(whole_ms(value).count());
+}
+
 } // namespace
 
 registry_sync::registry_sync(proxy_state& state, registry_client& client, std::uint64_t seed)
@@ -43,7 +47,16 @@
                follower_.next_step());
 }
 
+void registry_sync::note_request(std::string_view kind) {
+    request_ = {kind, state_.now()};
+}
+
+duration registry_sync::answer_age() const {
+    return last_answer_ ? state_.now() - *last_answer_ : duration{0};
+}
+
 void registry_sync::read_config() {
+    note_request("read");
     client_.read(registry_topic::config, [this](registry_result result) {
         auto read = accept_result(std::move(result));
         if (!read) {
@@ -56,6 +69,7 @@
 }
 
 void registry_sync::read_instances(std::uint64_t revision) {
+    note_request("read");
     client_.read(registry_topic::instances, [this, revision](registry_result result) {
         auto read = accept_result(std::move(result));
         if (read) {
@@ -69,6 +83,7 @@
 }
 
 void registry_sync::watch(const watch_registry& next) {
+    note_request("watch");
     client_.watch(next.after_revision, next.wait, [this](registry_result result) {
         auto seen = accept_result(std::move(result));
         if (seen) {
@@ -146,7 +161,10 @@
         return log_record{is_newer ? log_event::config_in_force : log_event::config_ignored,
                           {{"version", std::to_string(version)},
                            {"before", std::to_string(present)},
-                           {"routes", std::to_string(state_.routes->config().routes.size())}}};
+                           {"routes", std::to_string(state_.routes->config().routes.size())},
+                           {"call", std::string(request_.kind)},
+                           {"call_ms", ms_text(state_.now() - request_.started)},
+                           {"silent_ms", ms_text(silence_)}}};
     });
 }
 
@@ -205,18 +223,26 @@
     }
     is_outage_logged_ = true;
     state_.add_log_record(log_class::state_change, [&] {
-        return log_record{log_event::platform_unreachable, {{"cause", std::string(name_of(why))}}};
+        return log_record{log_event::platform_unreachable,
+                          {{"cause", std::string(name_of(why))},
+                           {"call", std::string(request_.kind)},
+                           {"call_ms", ms_text(state_.now() - request_.started)},
+                           {"silent_ms", ms_text(answer_age())}}};
     });
 }
 
 void registry_sync::handle_success() {
     state_.directory.source_regained(state_.now());
+    silence_ = answer_age();
+    last_answer_ = state_.now();
     if (!is_outage_logged_) {
         return;
     }
     is_outage_logged_ = false;
     state_.add_log_record(log_class::state_change, [&] {
-        return log_record{log_event::platform_reachable, {}};
+        return log_record{
+            log_event::platform_reachable,
+            {{"silent_ms", ms_text(silence_)}, {"failures", std::to_string(follower_.failures())}}};
     });
 }
 
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <trefoil/http1/loop_timer.hpp>
@@ -28,11 +29,22 @@
     /// True once the configuration and the instances have been read completely.
     bool has_read() const { return has_read_; }
 
+    /// Time since the registry last answered a request; zero before its first answer.
+    duration answer_age() const;
+
 private:
+    /// The request to the registry that is in progress.
+    struct pending_request {
+        /// `read` or `watch`, for the log.
+        std::string_view kind = "read";
+        time_point started;
+    };
+
     void step();
     void read_config();
     void read_instances(std::uint64_t revision);
     void watch(const watch_registry& next);
+    void note_request(std::string_view kind);
     /// Returns the changes of a result. An error is reported to the follower and yields nothing.
     std::optional<registry_changes> accept_result(registry_result result);
     void apply(std::vector<registry_change> changes);
@@ -51,6 +63,11 @@
     registry_follower follower_;
     bool has_read_ = false;
     bool is_outage_logged_ = false;
+    pending_request request_;
+    /// Empty until the registry has answered for the first time.
+    std::optional<time_point> last_answer_;
+    /// Time between the last two answers of the registry.
+    duration silence_{0};
     std::int64_t local_started_at_ms_ = 0;
     /// Fires at the end of a pause between two steps.
     http1::loop_timer timer_;
