Derive the limits of a watch from the platform's bounds

Cause: a watch waited up to 3.5 s and its answer 1.2 s more, constants that knew nothing of the bounds. A connection that died just after a watch began was noticed 4.7 s later, but the bounds hold again after a stable window of 3 s. Class of fault: a time limit that does not follow from the bound it serves.

Change: registry_timing_for derives the wait, the timeouts and the coalescing delay from the stable window (new setting stable_window, stableWindowS on the platform) and the bounds for draining and configurations, so that even a second attempt without an answer ends within the window. A failed watch is repeated from its revision and answered at once with the changes only; everything is read again only after history_gone or an answer that can't be decoded. A single failed call no longer counts as an outage in which leases may lapse, because the leases outlive it; removals seen by its repetition count at once.

--- a/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
+++ b/libs/proxy/include/trefoil/proxy/proxy_settings.hpp
@@ -34,6 +34,8 @@
     header_field_names header_names;
     /// Bound on the retries of all nodes together.
     fleet_retry_bound retry_bound;
+    /// Time after a disturbance from which the node must meet its other time bounds again.
+    duration stable_window = 3s;
     /// Time within which all nodes must stop sending requests to an instance that is leaving.
     duration drain_time = 2s;
     /// Time within which a new configuration must take effect.
--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -53,7 +53,8 @@
 
 /// Why a read or a watch failed.
 enum class registry_error : std::uint8_t {
-    /// No connection, no response within the time limit, or a truncated response.
+    /// No connection, no response within the time limit, a truncated response, or one that exceeds
+    /// the size limit.
     unreachable,
     /// The store currently refuses requests.
     refused,
@@ -75,12 +76,15 @@
 
     virtual ~registry_client() = default;
 
-    /// Reads all items of the topic. `done` is called once, asynchronously.
-    virtual void read(registry_topic topic, done_handler done) = 0;
+    /// Reads all items of the topic. Fails with `unreachable` if no byte of an answer arrives for
+    /// `answer_timeout`. `done` is called once, asynchronously.
+    virtual void read(registry_topic topic, duration answer_timeout, done_handler done) = 0;
 
-    /// Waits up to `wait` for changes of any topic that were made after the revision. `done` is
-    /// called once, asynchronously.
-    virtual void watch(std::uint64_t after, duration wait, done_handler done) = 0;
+    /// Waits up to `wait` for changes of any topic that were made after the revision. Fails with
+    /// `unreachable` if no byte of an answer arrives for `wait` and `answer_timeout`, or later for
+    /// `answer_timeout`. `done` is called once, asynchronously.
+    virtual void watch(std::uint64_t after, duration wait, duration answer_timeout,
+                       done_handler done) = 0;
 };
 
 } // namespace trefoil
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -12,13 +12,19 @@
 
 /// Read all items now.
 struct read_registry {
+    /// The read has failed if no byte of an answer arrives for this long.
+    duration answer_timeout{0};
+
     friend bool operator==(const read_registry&, const read_registry&) = default;
 };
 
 /// Watch for changes after the revision.
 struct watch_registry {
     std::uint64_t after_revision = 0;
+    /// Time that the registry may wait for changes.
     duration wait{0};
+    /// The watch has failed if no byte of an answer arrives for this long after `wait`.
+    duration answer_timeout{0};
 
     friend bool operator==(const watch_registry&, const watch_registry&) = default;
 };
@@ -30,28 +36,57 @@
     friend bool operator==(const delay_next_request&, const delay_next_request&) = default;
 };
 
-/// Returns the delay between a watch that returned changes and the next watch. Instances often
-/// start and stop in groups, and each completed watch wakes all nodes, so changes are fetched in
-/// batches. A change just after an answer is seen only by the next watch, yet an instance that
-/// leaves and a new configuration must take effect within `drain_time` and `config_time`, so the
-/// delay is a fraction of the shorter one. A node that has just started (`is_settling`) uses a
-/// shorter delay.
-duration watch_coalescing_delay(duration drain_time, duration config_time, bool is_settling);
+/// The bounds within which a node must follow the registry.
+struct registry_bounds {
+    /// Time after a disturbance of the node or its connections from which the other bounds hold.
+    duration stable_window = 3s;
+    /// Time within which an instance that is leaving must receive no more requests.
+    duration drain_time = 2s;
+    /// Time within which a new configuration must take effect.
+    duration config_apply_time = 2s;
+
+    friend bool operator==(const registry_bounds&, const registry_bounds&) = default;
+};
+
+/// Durations of the requests to the registry and of the pauses between them.
+struct registry_timing {
+    /// Time that a watch may wait for changes.
+    duration watch_wait{0};
+    /// Timeout of an answer, which doubles with consecutive failures up to `max_answer_timeout`.
+    duration answer_timeout{0};
+    duration max_answer_timeout{0};
+    /// Delay between a watch that returned changes and the next watch.
+    duration coalescing_delay{0};
+
+    friend bool operator==(const registry_timing&, const registry_timing&) = default;
+};
+
+/// Derives the durations from the bounds.
+///
+/// A connection can go silent without an error just after a watch began. The watch must then fail
+/// early enough to leave time for a second failed attempt before the bounds hold again, so its wait
+/// and timeout are fractions of the stable window.
+///
+/// Instances often start and stop in groups, and each completed watch wakes all nodes, so changes
+/// are fetched in batches. A change just after an answer is seen only by the next watch, so the
+/// delay is a fraction of the shorter one of the other two bounds. A node that has just started
+/// (`is_settling`) uses a shorter delay.
+registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling);
 
 using registry_step = std::variant<read_registry, watch_registry, delay_next_request>;
 
 /// Determines the next request to the registry: a full read, then successive watches. A watch
 /// continues from the last revision that contained changes, since an empty answer does not show
-/// whether the watch has missed changes. After a failure, everything is read again after an
+/// whether the watch has missed changes. A watch that fails is repeated from the same revision, on
+/// which a registry without new changes answers at once. Everything is read again only if the
+/// registry has dropped the changes since the revision or its answer cannot be decoded. There is an
 /// exponential backoff with jitter, so that not all nodes reconnect to a recovering store at once.
 class registry_follower {
 public:
-    /// `delay` is the time between a watch that returned changes and the next watch, so that
-    /// changes close together are fetched in one batch.
-    explicit registry_follower(std::uint64_t seed, duration delay = {})
-        : random_(seed), coalescing_delay_(delay) {}
+    registry_follower(std::uint64_t seed, registry_timing timing)
+        : random_(seed), timing_(timing) {}
 
-    void set_coalescing_delay(duration delay) { coalescing_delay_ = delay; }
+    void set_timing(const registry_timing& timing) { timing_ = timing; }
 
     /// Returns the next step.
     registry_step next_step();
@@ -62,22 +97,26 @@
     /// Reports that the last step failed.
     void record_failure(registry_error why);
 
-    /// True from a failure to read or watch the store until the next success. A history that is
-    /// gone does not count as a failure.
-    bool is_failing() const { return failures_ > 0; }
-
-    /// Number of consecutive failures.
+    /// Number of consecutive failures to read or watch the store. A history that is gone does not
+    /// count as a failure.
     std::uint32_t failures() const { return failures_; }
 
-    /// Maximum duration of one watch. A dead connection is detected after this time.
-    static constexpr duration max_watch_wait = 3500ms;
+    /// True if a failed request was repeated and failed again, so that the registry is unavailable
+    /// and not only a connection to it.
+    bool is_registry_lost() const { return failures_ > 1; }
 
 private:
     static constexpr duration initial_backoff = 100ms;
     static constexpr duration max_backoff = 600ms;
+    /// Wait of a watch that follows a failure. It is answered at once, which shows that the new
+    /// connection works.
+    static constexpr duration probe_wait = 1ms;
+
+    duration backoff();
+    duration answer_timeout() const;
 
     random_source random_;
-    duration coalescing_delay_;
+    registry_timing timing_;
     bool must_delay_watch_ = false;
     std::optional<std::uint64_t> revision_;
     std::uint32_t failures_ = 0;
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -246,6 +246,7 @@
                                    read->domain != state_.settings.domain;
         state_.settings.service = read->service;
         state_.settings.stop_timeout = read->stop_timeout;
+        state_.settings.stable_window = read->stable_window;
         state_.settings.drain_time = read->drain_time;
         state_.settings.config_apply_time = read->config_apply_time;
         if (read->retry_bound != state_.settings.retry_bound) {
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace trefoil {
+namespace {
+
+constexpr std::uint32_t max_doublings = 3;
+
+duration fraction_of(duration whole, double share) {
+    return duration(static_cast<duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
+} // namespace
 
 std::string_view name_of(registry_error problem) {
     switch (problem) {
@@ -19,46 +28,68 @@
     return "unknown";
 }
 
-duration watch_coalescing_delay(duration drain_time, duration config_time, bool is_settling) {
-    constexpr double delay_share = 0.45;
-    constexpr duration startup_delay = 250ms;
-    const auto allowed = static_cast<double>(std::min(drain_time, config_time).count());
-    const duration delay(static_cast<duration::rep>(allowed * delay_share));
-    return is_settling ? std::min(startup_delay, delay) : delay;
+registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling) {
+    constexpr double wait_share = 0.45;
+    constexpr double timeout_share = 0.13;
+    constexpr double max_timeout_share = 0.4;
+    constexpr double coalescing_share = 0.45;
+    constexpr duration startup_coalescing_delay = 250ms;
+    const auto change_bound = std::min(bounds.drain_time, bounds.config_apply_time);
+    const auto recovery_bound = std::max(bounds.stable_window, change_bound);
+    registry_timing timing;
+    timing.watch_wait = fraction_of(recovery_bound, wait_share);
+    timing.answer_timeout = fraction_of(recovery_bound, timeout_share);
+    timing.max_answer_timeout = fraction_of(recovery_bound, max_timeout_share);
+    timing.coalescing_delay = fraction_of(change_bound, coalescing_share);
+    if (is_settling) {
+        timing.coalescing_delay = std::min(timing.coalescing_delay, startup_coalescing_delay);
+    }
+    return timing;
+}
+
+duration registry_follower::backoff() {
+    const auto doublings = std::min(failures_ - 1, max_doublings);
+    const auto full = std::min<duration>(initial_backoff * (1U << doublings), max_backoff);
+    const auto half = full / 2;
+    const auto jitter = random_.below(static_cast<std::uint64_t>(half.count()));
+    return half + duration(static_cast<duration::rep>(jitter));
+}
+
+duration registry_follower::answer_timeout() const {
+    const auto doublings = std::min(failures_ > 0 ? failures_ - 1 : 0, max_doublings);
+    return std::min<duration>(timing_.answer_timeout * (1U << doublings),
+                              timing_.max_answer_timeout);
 }
 
 registry_step registry_follower::next_step() {
-    if (failures_ > 0 && !has_backed_off_) {
-        has_backed_off_ = true;
-        constexpr std::uint32_t max_doublings = 3;
-        const auto full = std::min<duration>(
-            initial_backoff * (1U << std::min(failures_ - 1, max_doublings)), max_backoff);
-        const auto half = full / 2;
-        return delay_next_request{half + duration(static_cast<duration::rep>(random_.below(
-                                             static_cast<std::uint64_t>(half.count()))))};
+    if (failures_ > 0 && !std::exchange(has_backed_off_, true)) {
+        return delay_next_request{backoff()};
     }
     if (!revision_) {
-        return read_registry{};
+        return read_registry{answer_timeout()};
     }
     if (std::exchange(must_delay_watch_, false)) {
-        return delay_next_request{coalescing_delay_};
+        return delay_next_request{timing_.coalescing_delay};
     }
-    return watch_registry{*revision_, max_watch_wait};
+    const auto wait = failures_ > 0 ? probe_wait : timing_.watch_wait;
+    return watch_registry{*revision_, wait, answer_timeout()};
 }
 
 void registry_follower::record_success(std::uint64_t revision, bool has_events) {
     failures_ = 0;
     has_backed_off_ = false;
-    must_delay_watch_ = revision_ && has_events && coalescing_delay_ > duration{0};
+    must_delay_watch_ = revision_ && has_events && timing_.coalescing_delay > duration{0};
     if (!revision_ || has_events) {
         revision_ = std::max(revision_.value_or(0), revision);
     }
 }
 
 void registry_follower::record_failure(registry_error why) {
-    revision_.reset();
     has_backed_off_ = false;
     must_delay_watch_ = false;
+    if (why == registry_error::history_gone || why == registry_error::bad_answer) {
+        revision_.reset();
+    }
     if (why != registry_error::history_gone) {
         ++failures_;
     }
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -26,6 +26,10 @@
 /// instances may have been started together with it.
 constexpr duration startup_period = 6s;
 
+registry_bounds bounds_of(const proxy_settings& settings) {
+    return {settings.stable_window, settings.drain_time, settings.config_apply_time};
+}
+
 std::string ms_text(duration value) {
     return std::to_string(whole_ms(value).count());
 }
@@ -33,15 +37,14 @@
 } // namespace
 
 registry_sync::registry_sync(proxy_state& state, registry_client& client, std::uint64_t seed)
-    : state_(state), client_(client), started_(state.now()), follower_(seed),
+    : state_(state), client_(client), started_(state.now()),
+      follower_(seed, registry_timing_for(bounds_of(state.settings), true)),
       timer_(state.loop, [this] { step(); }) {}
 
 void registry_sync::step() {
     const bool is_settling = state_.now() - started_ < startup_period;
-    const auto& settings = state_.settings;
-    follower_.set_coalescing_delay(
-        watch_coalescing_delay(settings.drain_time, settings.config_apply_time, is_settling));
-    std::visit(overloaded{[&](const read_registry&) { read_config(); },
+    follower_.set_timing(registry_timing_for(bounds_of(state_.settings), is_settling));
+    std::visit(overloaded{[&](const read_registry& next) { read_config(next.answer_timeout); },
                           [&](const watch_registry& next) { watch(next); },
                           [&](const delay_next_request& rest) { timer_.start(rest.delay); }},
                follower_.next_step());
@@ -55,49 +58,53 @@
     return last_answer_ ? state_.now() - *last_answer_ : duration{0};
 }
 
-void registry_sync::read_config() {
+void registry_sync::read_config(duration answer_timeout) {
     note_request("read");
-    client_.read(registry_topic::config, [this](registry_result result) {
-        auto read = accept_result(std::move(result));
-        if (!read) {
-            step();
-            return;
-        }
-        apply(std::move(read->changes));
-        read_instances(read->revision);
-    });
+    client_.read(registry_topic::config, answer_timeout,
+                 [this, answer_timeout](registry_result result) {
+                     auto read = accept_result(std::move(result));
+                     if (!read) {
+                         step();
+                         return;
+                     }
+                     apply(std::move(read->changes));
+                     read_instances(answer_timeout, read->revision);
+                 });
 }
 
-void registry_sync::read_instances(std::uint64_t revision) {
+void registry_sync::read_instances(duration answer_timeout, std::uint64_t revision) {
     note_request("read");
-    client_.read(registry_topic::instances, [this, revision](registry_result result) {
-        auto read = accept_result(std::move(result));
-        if (read) {
-            apply_list(std::move(read->changes));
-            has_read_ = true;
-            // The configuration is watched from the revision of its own read, which came first.
-            follower_.record_success(std::min(revision, read->revision), true);
-        }
-        step();
-    });
+    client_.read(registry_topic::instances, answer_timeout,
+                 [this, revision](registry_result result) {
+                     auto read = accept_result(std::move(result));
+                     if (read) {
+                         apply_list(std::move(read->changes));
+                         has_read_ = true;
+                         // The configuration is watched from the revision of its own read, which
+                         // came first.
+                         follower_.record_success(std::min(revision, read->revision), true);
+                     }
+                     step();
+                 });
 }
 
 void registry_sync::watch(const watch_registry& next) {
     note_request("watch");
-    client_.watch(next.after_revision, next.wait, [this](registry_result result) {
-        auto seen = accept_result(std::move(result));
-        if (seen) {
-            apply(std::move(seen->changes));
-            follower_.record_success(seen->revision, seen->has_events);
-        }
-        step();
-    });
+    client_.watch(next.after_revision, next.wait, next.answer_timeout,
+                  [this](registry_result result) {
+                      auto seen = accept_result(std::move(result));
+                      if (seen) {
+                          apply(std::move(seen->changes));
+                          follower_.record_success(seen->revision, seen->has_events);
+                      }
+                      step();
+                  });
 }
 
 std::optional<registry_changes> registry_sync::accept_result(registry_result result) {
     if (const auto* why = std::get_if<registry_error>(&result)) {
-        handle_failure(*why);
         follower_.record_failure(*why);
+        handle_failure(*why);
         return std::nullopt;
     }
     handle_success();
@@ -217,7 +224,9 @@
         });
         return;
     }
-    state_.directory.source_lost();
+    if (follower_.is_registry_lost()) {
+        state_.directory.source_lost();
+    }
     if (is_outage_logged_) {
         return;
     }
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -41,8 +41,8 @@
     };
 
     void step();
-    void read_config();
-    void read_instances(std::uint64_t revision);
+    void read_config(duration answer_timeout);
+    void read_instances(duration answer_timeout, std::uint64_t revision);
     void watch(const watch_registry& next);
     void note_request(std::string_view kind);
     /// Returns the changes of a result. An error is reported to the follower and yields nothing.
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -43,10 +43,12 @@
 /// change() is called.
 class memory_registry : public registry_client {
 public:
-    void read(registry_topic topic, done_handler done) override {
+    void read(registry_topic topic, duration, done_handler done) override {
         pending_ = [this, topic, done] { done(registry_changes{items[topic], 1, true}); };
     }
-    void watch(std::uint64_t, duration, done_handler done) override { watch_ = std::move(done); }
+    void watch(std::uint64_t, duration, duration, done_handler done) override {
+        watch_ = std::move(done);
+    }
 
     /// Answers pending reads until the node starts a watch.
     void serve() {
