Give the proxy its random seed from outside

proxy_test failed in 1 of 24 and 1 of 30 runs: 'a request that a target has not run is sent to another one' expects the first attempt at the caller's own target, but placement sends one request in a hundred to a random instance, and the seed came from the clock inside the node. The log of the failing run shows the first attempt at the other machine.

--- a/libs/proxy/include/trefoil/proxy/proxy_node.hpp
+++ b/libs/proxy/include/trefoil/proxy/proxy_node.hpp
@@ -1,6 +1,7 @@
 // Proxy process beside a target that obtains routes and instances from a platform's registry.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -25,7 +26,9 @@
 /// proxy. Uses one event loop on one thread.
 class proxy_node {
 public:
-    proxy_node(uv_loop_s* loop, proxy_settings settings, platform_access sources);
+    /// `seed` determines all random choices. It must differ between the starts of a process.
+    proxy_node(uv_loop_s* loop, proxy_settings settings, platform_access sources,
+               std::uint64_t seed);
     ~proxy_node();
     proxy_node(const proxy_node&) = delete;
     proxy_node& operator=(const proxy_node&) = delete;
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -1,14 +1,12 @@
 #include <trefoil/proxy/proxy_node.hpp>
 
 #include <array>
-#include <chrono>
 #include <csignal>
 #include <vector>
 
 #include <fmt/format.h>
 #include <uv.h>
 
-#include <trefoil/base/hash.hpp>
 #include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
 
@@ -59,18 +57,13 @@
     return made;
 }
 
-std::uint64_t seed_of(const proxy_settings& settings) {
-    const auto time = std::chrono::steady_clock::now().time_since_epoch().count();
-    return mix_hash(stable_hash(settings.name), static_cast<std::uint64_t>(time));
-}
-
 } // namespace
 
 class proxy_node::impl {
 public:
-    impl(uv_loop_t* loop, proxy_settings settings, platform_access sources)
-        : seed_(seed_of(settings)), state_(loop, std::move(settings), seed_),
-          sources_(std::move(sources)), registry_(state_, *sources_.registry, seed_ + 2),
+    impl(uv_loop_t* loop, proxy_settings settings, platform_access sources, std::uint64_t seed)
+        : state_(loop, std::move(settings), seed), sources_(std::move(sources)),
+          registry_(state_, *sources_.registry, seed + 2),
           housekeeping_(loop, [this] { run_housekeeping(); }) {}
 
     ~impl() {
@@ -314,7 +307,6 @@
         state_.log.flush(state_.now());
     }
 
-    std::uint64_t seed_;
     proxy_state state_;
     platform_access sources_;
     registry_sync registry_;
@@ -332,8 +324,9 @@
     bool is_restart_logged_ = false;
 };
 
-proxy_node::proxy_node(uv_loop_s* loop, proxy_settings settings, platform_access sources)
-    : impl_(std::make_unique<impl>(loop, std::move(settings), std::move(sources))) {}
+proxy_node::proxy_node(uv_loop_s* loop, proxy_settings settings, platform_access sources,
+                       std::uint64_t seed)
+    : impl_(std::make_unique<impl>(loop, std::move(settings), std::move(sources), seed)) {}
 
 proxy_node::~proxy_node() = default;
 
--- a/tools/trefoil-proxy/main.cpp
+++ b/tools/trefoil-proxy/main.cpp
@@ -1,10 +1,12 @@
 // The node process that runs beside a target on the users' platform.
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 
 #include <fmt/format.h>
 #include <uv.h>
 
+#include <trefoil/base/hash.hpp>
 #include <trefoil/base/log.hpp>
 #include <trefoil/platform/settings_file.hpp>
 #include <trefoil/platform/store_client.hpp>
@@ -28,6 +30,12 @@
     return read->proxy;
 }
 
+/// Returns a seed that differs between machines and between the starts of a process.
+std::uint64_t seed_of(const proxy_settings& settings) {
+    const auto time = std::chrono::steady_clock::now().time_since_epoch().count();
+    return mix_hash(stable_hash(settings.name), static_cast<std::uint64_t>(time));
+}
+
 int run(const tool_settings& settings) {
     const char* path_from_environment = std::getenv(platform::settings_path_variable);
     const std::string path = settings.path.empty() && path_from_environment != nullptr
@@ -48,7 +56,7 @@
     platform_access sources;
     sources.registry = platform::make_store_client(loop, read->store_address);
     sources.reload = [path] { return reload(path); };
-    proxy_node node(loop, read->proxy, std::move(sources));
+    proxy_node node(loop, read->proxy, std::move(sources), seed_of(read->proxy));
     const auto opened = node.open();
     if (!opened.ok()) {
         write_log({log_event::listener_failed, {{"problem", std::string(opened.message())}}});
