Log what targets announce in their answers

The platform's header names are decoded into target_announcement: a limit holds until an answer lacks it, leaving is final. 3012 target_limit_changed has the limit and the number of requests sent so far, 3013 target_leaving is logged once; two metrics show the limit and the requests sent. Nothing acts on them.

--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -41,6 +41,8 @@
     instance_dropped = 3009,
     instance_held = 3010,
     own_target_changed = 3011,
+    target_limit_changed = 3012,
+    target_leaving = 3013,
     request_suspected = 4001,
     request_cleared = 4002,
     request_convicted = 4003,
--- a/libs/proxy/include/trefoil/proxy/header_field_names.hpp
+++ b/libs/proxy/include/trefoil/proxy/header_field_names.hpp
@@ -19,6 +19,10 @@
     std::string not_executed;
     /// Present on responses that were made by a target.
     std::string answer_stamp;
+    /// On responses of a target: requests per second that it accepts from all machines together.
+    std::string rate_limit;
+    /// On responses of a target that is about to end.
+    std::string leaving;
 
     friend bool operator==(const header_field_names&, const header_field_names&) = default;
 };
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <limits>
 #include <vector>
 
 #include <fmt/format.h>
@@ -155,6 +156,8 @@
 
     std::string metrics_text() const {
         const auto load = state_.dispatcher.load();
+        const auto rate_limit = state_.dispatcher.announcement().rate_limit.value_or(
+            std::numeric_limits<double>::infinity());
         const auto& target = state_.dispatcher.counts();
         const auto& peers = state_.peers.counts();
         return state_.metrics.text() +
@@ -164,6 +167,10 @@
                            "trefoil_target_queued {}\n"
                            "# TYPE trefoil_target_limit gauge\n"
                            "trefoil_target_limit {}\n"
+                           "# TYPE trefoil_target_rate_limit gauge\n"
+                           "trefoil_target_rate_limit {}\n"
+                           "# TYPE trefoil_target_requests_total counter\n"
+                           "trefoil_target_requests_total {}\n"
                            "# TYPE trefoil_target_connections_total counter\n"
                            "trefoil_target_connections_total {}\n"
                            "# TYPE trefoil_peer_connections_total counter\n"
@@ -174,8 +181,8 @@
                            "trefoil_registry_answer_age_seconds {}\n"
                            "# TYPE trefoil_instances gauge\n"
                            "trefoil_instances {}\n",
-                           load.in_flight, load.queued, load.limit, target.connections_opened,
-                           peers.connections_opened,
+                           load.in_flight, load.queued, load.limit, rate_limit, target.requests,
+                           target.connections_opened, peers.connections_opened,
                            state_.routes == nullptr ? 0 : state_.routes->config().version,
                            to_seconds(registry_.answer_age()), state_.directory.size());
     }
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -21,12 +21,32 @@
       peers(event_loop, peer_limits),
       crashes(event_loop, settings.target, seed,
               [this](const crash_notice& notice) { broadcast_crash(notice); }),
-      dispatcher(event_loop, settings.target, settings.header_names, crashes), random(seed + 1) {}
+      dispatcher(event_loop, settings.target, settings.header_names, crashes,
+                 [this](const target_announcement& announced) { handle_announcement(announced); }),
+      random(seed + 1) {}
 
 time_point proxy_state::now() const {
     return http1::loop_time(loop);
 }
 
+void proxy_state::handle_announcement(const target_announcement& announced) {
+    if (announced.rate_limit != logged_announcement.rate_limit) {
+        add_log_record(log_class::state_change, [&] {
+            const auto limit =
+                announced.rate_limit ? fmt::format("{:g}", *announced.rate_limit) : "-";
+            return log_record{
+                log_event::target_limit_changed,
+                {{"limit", limit}, {"sent", std::to_string(dispatcher.counts().requests)}}};
+        });
+    }
+    if (announced.is_leaving && !logged_announcement.is_leaving) {
+        add_log_record(log_class::state_change, [] {
+            return log_record{log_event::target_leaving, {}};
+        });
+    }
+    logged_announcement = announced;
+}
+
 void proxy_state::broadcast_crash(const crash_notice& notice) {
     add_log_record(log_class::state_change, [&] {
         return log_record{log_event::target_down,
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -41,6 +41,9 @@
         }
     }
 
+    /// Logs what the local target has announced.
+    void handle_announcement(const target_announcement& announced);
+
     /// Sends the requests that were running when the local target crashed to every other node.
     void broadcast_crash(const crash_notice& notice);
 
@@ -58,6 +61,7 @@
     http1::client peers;
     crash_detector crashes;
     target_dispatcher dispatcher;
+    target_announcement logged_announcement;
     random_source random;
     /// Crash notices in flight, by number.
     std::map<std::uint64_t, std::unique_ptr<http1::exchange>> pending_notices;
--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -152,6 +152,9 @@
 
 private:
     void handle_event(http1::exchange_event event) {
+        if (const auto* head = std::get_if<http1::response_head>(&event)) {
+            dispatcher_.read_announcement(head->headers);
+        }
         auto passed = collector_.handle(std::move(event));
         if (!passed) {
             return;
@@ -250,9 +253,11 @@
 };
 
 target_dispatcher::target_dispatcher(uv_loop_s* loop, endpoint target,
-                                     const header_field_names& fields, crash_detector& crashes)
+                                     const header_field_names& fields, crash_detector& crashes,
+                                     announcement_handler on_announcement)
     : loop_(loop), target_(std::move(target)), fields_(fields), crashes_(crashes),
-      client_(loop, connection_limits), admission_(make_admission_settings()), timer_(loop, [this] {
+      on_announcement_(std::move(on_announcement)), client_(loop, connection_limits),
+      admission_(make_admission_settings()), timer_(loop, [this] {
           notify_refused();
           advance();
       }) {}
@@ -354,6 +359,14 @@
     timer_.start(0ms);
 }
 
+void target_dispatcher::read_announcement(const std::vector<http_header>& headers) {
+    const auto updated = updated_announcement(announcement_, fields_, headers);
+    if (updated != announcement_) {
+        announcement_ = updated;
+        on_announcement_(updated);
+    }
+}
+
 void target_dispatcher::arm_timer() {
     if (!pending_refusals_.empty()) {
         timer_.start(0ms);
--- a/libs/proxy/src/target_dispatcher.hpp
+++ b/libs/proxy/src/target_dispatcher.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
 #include "attempt.hpp"
 #include "crash_detector.hpp"
 #include "peer_message.hpp"
+#include "target_announcement.hpp"
 
 struct uv_loop_s;
 
@@ -37,8 +39,11 @@
 /// connections. All requests to the target pass through the dispatcher.
 class target_dispatcher {
 public:
+    /// Called when the target announces another limit or that it is leaving.
+    using announcement_handler = std::function<void(const target_announcement&)>;
+
     target_dispatcher(uv_loop_s* loop, endpoint target, const header_field_names& fields,
-                      crash_detector& crashes);
+                      crash_detector& crashes, announcement_handler on_announcement);
     target_dispatcher(const target_dispatcher&) = delete;
     target_dispatcher& operator=(const target_dispatcher&) = delete;
 
@@ -60,6 +65,9 @@
     /// Notes that the process of the target has restarted and is slow at first.
     void set_cold();
 
+    /// What the target has announced in its answers.
+    const target_announcement& announcement() const { return announcement_; }
+
     load_report load() const;
     const http1::client_counts& counts() const { return client_.counts(); }
 
@@ -85,6 +93,7 @@
     /// Removes a queued or running request whose owner has destroyed it. `since` is the start time
     /// of a running request.
     void cancel(call_id call, time_point since);
+    void read_announcement(const std::vector<http_header>& headers);
     void arm_timer();
     /// True if the queue has not been empty for a long time and the priority of this request is not
     /// higher than that of the last request in the queue.
@@ -95,6 +104,8 @@
     endpoint target_;
     const header_field_names& fields_;
     crash_detector& crashes_;
+    announcement_handler on_announcement_;
+    target_announcement announcement_;
     http1::client client_;
     admission admission_;
     downstream_limiter downstream_limiter_;
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 header_field_names make_fields() {
-    return {"id", "time-left", "from", "expected", "not-executed", "stamp"};
+    return {"id",           "time-left", "from",       "expected",
+            "not-executed", "stamp",     "rate-limit", "leaving"};
 }
 
 attempt_reply reply_of(int status, std::vector<http_header> headers) {
--- /dev/null
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -0,0 +1,262 @@
+// Two proxies and their targets in one process, connected over loopback, with an in-memory
+// registry.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <unistd.h>
+#include <uv.h>
+
+#include <trefoil/base/overloaded.hpp>
+#include <trefoil/http1/client.hpp>
+#include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/server.hpp>
+#include <trefoil/proxy/proxy_node.hpp>
+
+namespace trefoil {
+
+inline const header_field_names fields{"id",           "time-left", "from",       "expected",
+                                       "not-executed", "stamp",     "rate-limit", "leaving"};
+
+/// Placement sends one request in a hundred to a random instance; with this seed none of the few
+/// requests of a test.
+constexpr std::uint64_t node_seed = 1;
+
+inline std::uint16_t free_port() {
+    static std::uint16_t next = 0;
+    if (next == 0) {
+        next = static_cast<std::uint16_t>(24'000 + getpid() % 8'000);
+    }
+    return next++;
+}
+
+/// In-memory registry client of one node. Reads are answered when serve() is called, watches when
+/// change() is called.
+class memory_registry : public registry_client {
+public:
+    void read(registry_topic topic, duration, done_handler done) override {
+        pending_ = [this, topic, done] { done(registry_changes{items[topic], 1, true}); };
+    }
+    void watch(std::uint64_t, duration, duration, done_handler done) override {
+        watch_ = std::move(done);
+    }
+
+    /// Answers pending reads until the node starts a watch.
+    void serve() {
+        while (pending_) {
+            std::exchange(pending_, nullptr)();
+        }
+    }
+
+    bool is_watched() const { return watch_ != nullptr; }
+
+    void change(std::vector<registry_change> changes) {
+        auto done = std::exchange(watch_, nullptr);
+        done(registry_changes{std::move(changes), ++revision_, true});
+    }
+
+    std::map<registry_topic, std::vector<registry_change>> items;
+
+private:
+    std::function<void()> pending_;
+    done_handler watch_;
+    std::uint64_t revision_ = 1;
+};
+
+/// A target whose response depends on the path. It records the requests that reach it.
+struct test_target {
+    test_target(uv_loop_t* loop, const endpoint& where) {
+        auto made = http1::server::listen(
+            loop, where, {}, [this](const std::shared_ptr<http1::served_request>& request) {
+                requests.push_back(request);
+                const std::weak_ptr<http1::served_request> weak = request;
+                request->set_handlers(
+                    {[this, weak] { answer(weak.lock()); }, [this] { ++cancelled; }, {}});
+            });
+        REQUIRE(made.ok());
+        listener = std::move(*made);
+    }
+
+    void answer(const std::shared_ptr<http1::served_request>& request) {
+        if (!request->is_body_complete()) {
+            return;
+        }
+        const auto& head = request->head();
+        if (head.target.find("hang") != std::string::npos) {
+            return;
+        }
+        http1::response_head out;
+        const bool sheds = head.target.find("shed") != std::string::npos && is_shedding;
+        out.status = sheds ? 503 : 200;
+        out.reason = "-";
+        out.headers.push_back({"id", std::string(find_header(head.headers, "id"))});
+        if (sheds) {
+            out.headers.push_back({"not-executed", "1"});
+        } else {
+            out.headers.push_back({"stamp", "s"});
+        }
+        request->respond(out, "body of " + head.target + request->take_body());
+    }
+
+    std::unique_ptr<http1::server> listener;
+    std::vector<std::shared_ptr<http1::served_request>> requests;
+    int cancelled = 0;
+    bool is_shedding = true;
+};
+
+struct reply {
+    int status = 0;
+    std::string body;
+    std::vector<http_header> headers;
+    bool is_finished = false;
+    bool has_failed = false;
+    std::unique_ptr<http1::exchange> running;
+};
+
+/// Two machines, each with a proxy and a target of the service `s`.
+struct two_machine_site {
+    uv_loop_t loop{};
+    std::uint16_t target_port = free_port();
+    std::uint16_t caller_port = free_port();
+    std::uint16_t peer_port = free_port();
+    std::uint16_t ready_port = free_port();
+    std::uint16_t metrics_port = free_port();
+    std::array<memory_registry*, 2> registries{};
+    std::vector<std::unique_ptr<test_target>> targets;
+    std::vector<std::unique_ptr<proxy_node>> nodes;
+    std::unique_ptr<http1::client> client;
+
+    two_machine_site() {
+        uv_loop_init(&loop);
+        client = std::make_unique<http1::client>(&loop, http1::connection_pool_limits{});
+        for (std::size_t i = 0; i < 2; ++i) {
+            targets.push_back(std::make_unique<test_target>(&loop, endpoint{ip(i), target_port}));
+            auto registry = std::make_unique<memory_registry>();
+            registries[i] = registry.get();
+            registry->items[registry_topic::config] = {config(1)};
+            registry->items[registry_topic::instances] = {instance(0), instance(1)};
+            platform_access sources;
+            sources.registry = std::move(registry);
+            sources.reload = [this, i]() -> absl::StatusOr<proxy_settings> { return settings(i); };
+            nodes.push_back(
+                std::make_unique<proxy_node>(&loop, settings(i), std::move(sources), node_seed));
+            REQUIRE(nodes[i]->open().ok());
+            registries[i]->serve();
+        }
+    }
+
+    ~two_machine_site() {
+        nodes.clear();
+        targets.clear();
+        client.reset();
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+    }
+
+    static std::string ip(std::size_t i) { return "127.0.1." + std::to_string(i + 1); }
+
+    proxy_settings settings(std::size_t i) const {
+        proxy_settings made;
+        made.name = "m" + std::to_string(i);
+        made.domain = domain_name("d" + std::to_string(i));
+        made.service = service_name("s");
+        made.target = {ip(i), target_port};
+        made.caller_listener = {ip(i), caller_port};
+        made.peer_listener = {ip(i), peer_port};
+        made.ready_listener = {ip(i), ready_port};
+        made.metrics_listener = {ip(i), metrics_port};
+        made.header_names = fields;
+        return made;
+    }
+
+    listed_instance instance(std::size_t i, listed_state state = listed_state::ready) const {
+        listed_instance made;
+        made.id = instance_id("i" + std::to_string(i));
+        made.service = service_name("s");
+        made.target = {ip(i), target_port};
+        made.domain = domain_name("d" + std::to_string(i));
+        made.slots = 4;
+        made.state = state;
+        made.sequence = state == listed_state::ready ? 1 : 2;
+        return made;
+    }
+
+    static traffic_config config(std::uint64_t version) {
+        traffic_config made;
+        made.version = version;
+        for (const auto repeats : {repeatability::idempotent, repeatability::at_most_once}) {
+            route entry;
+            entry.name = repeats == repeatability::idempotent ? "read" : "write";
+            entry.host = "h";
+            entry.path_prefix = "/" + entry.name + "/";
+            entry.repeats = repeats;
+            entry.services = {{service_name("s"), 1}};
+            entry.timeout = 600ms;
+            entry.max_attempts = 2;
+            entry.target_latency = 500ms;
+            made.routes.push_back(entry);
+        }
+        return made;
+    }
+
+    /// Delivers changes to the first machine's node once it watches the registry.
+    void change(std::vector<registry_change> changes) {
+        REQUIRE(run_until([&] { return registries[0]->is_watched(); }));
+        registries[0]->change(std::move(changes));
+    }
+
+    bool run_until(const std::function<bool()>& condition) {
+        const auto end = uv_hrtime() + 8'000'000'000ULL;
+        while (!condition() && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        return condition();
+    }
+
+    void send(reply& into, const std::string& path, std::vector<http_header> headers = {}) {
+        http1::request_head head;
+        head.method = "GET";
+        head.target = path;
+        head.headers = std::move(headers);
+        head.headers.push_back({"host", "h"});
+        head.headers.push_back({"id", "caller-1"});
+        into.running =
+            client->start({ip(0), caller_port}, head, {}, true, {},
+                          [&into](http1::exchange_event event) { take(into, std::move(event)); });
+    }
+
+    static void take(reply& into, http1::exchange_event event) {
+        std::visit(overloaded{[&](const http1::response_head& head) {
+                                  into.status = head.status;
+                                  into.headers = head.headers;
+                              },
+                              [&](const http1::body_piece& piece) { into.body += piece.bytes; },
+                              [&](const http1::message_end&) { into.is_finished = true; },
+                              [&](http1::exchange_failure) {
+                                  into.is_finished = true;
+                                  into.has_failed = true;
+                              }},
+                   event);
+    }
+
+    reply ask(const std::string& path, std::vector<http_header> headers = {}) {
+        reply got;
+        send(got, path, std::move(headers));
+        REQUIRE(run_until([&] { return got.is_finished; }));
+        return got;
+    }
+
+    std::size_t reached(std::size_t i) const { return targets[i]->requests.size(); }
+};
+
+} // namespace trefoil
