--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -100,6 +100,12 @@
         out.status = sheds ? 503 : 200;
         out.reason = "-";
         out.headers.push_back({"id", std::string(find_header(head.headers, "id"))});
+        if (!rate_limit.empty()) {
+            out.headers.push_back({"rate-limit", rate_limit});
+        }
+        if (is_leaving) {
+            out.headers.push_back({"leaving", "1"});
+        }
         if (sheds) {
             out.headers.push_back({"not-executed", "1"});
         } else {
@@ -112,6 +118,10 @@
     std::vector<std::shared_ptr<http1::served_request>> requests;
     int cancelled = 0;
     bool is_shedding = true;
+    /// Named in all answers if it is not empty.
+    std::string rate_limit;
+    /// If set, all answers say that the target leaves.
+    bool is_leaving = false;
 };
 
 struct reply {
@@ -131,27 +141,19 @@
     std::uint16_t peer_port = free_port();
     std::uint16_t ready_port = free_port();
     std::uint16_t metrics_port = free_port();
+    std::uint32_t slots;
     std::array<memory_registry*, 2> registries{};
     std::vector<std::unique_ptr<test_target>> targets;
     std::vector<std::unique_ptr<proxy_node>> nodes;
     std::unique_ptr<http1::client> client;
 
-    two_machine_site() {
+    explicit two_machine_site(std::uint32_t target_slots = 4) : slots(target_slots) {
         uv_loop_init(&loop);
         client = std::make_unique<http1::client>(&loop, http1::connection_pool_limits{});
+        nodes.resize(2);
         for (std::size_t i = 0; i < 2; ++i) {
             targets.push_back(std::make_unique<test_target>(&loop, endpoint{ip(i), target_port}));
-            auto registry = std::make_unique<memory_registry>();
-            registries[i] = registry.get();
-            registry->items[registry_topic::config] = {config(1)};
-            registry->items[registry_topic::instances] = {instance(0), instance(1)};
-            platform_access sources;
-            sources.registry = std::move(registry);
-            sources.reload = [this, i]() -> absl::StatusOr<proxy_settings> { return settings(i); };
-            nodes.push_back(
-                std::make_unique<proxy_node>(&loop, settings(i), std::move(sources), node_seed));
-            REQUIRE(nodes[i]->open().ok());
-            registries[i]->serve();
+            start_node(i);
         }
     }
 
@@ -163,6 +165,25 @@
         uv_loop_close(&loop);
     }
 
+    void start_node(std::size_t i) {
+        auto registry = std::make_unique<memory_registry>();
+        registries[i] = registry.get();
+        registry->items[registry_topic::config] = {config(1)};
+        registry->items[registry_topic::instances] = {instance(0), instance(1)};
+        platform_access sources;
+        sources.registry = std::move(registry);
+        sources.reload = [this, i]() -> absl::StatusOr<proxy_settings> { return settings(i); };
+        nodes[i] = std::make_unique<proxy_node>(&loop, settings(i), std::move(sources), node_seed);
+        REQUIRE(nodes[i]->open().ok());
+        registries[i]->serve();
+    }
+
+    /// Replaces the node of a machine by a new one, as after a crash of its process.
+    void restart_node(std::size_t i) {
+        nodes[i].reset();
+        start_node(i);
+    }
+
     static std::string ip(std::size_t i) { return "127.0.1." + std::to_string(i + 1); }
 
     proxy_settings settings(std::size_t i) const {
@@ -185,7 +206,7 @@
         made.service = service_name("s");
         made.target = {ip(i), target_port};
         made.domain = domain_name("d" + std::to_string(i));
-        made.slots = 4;
+        made.slots = slots;
         made.state = state;
         made.sequence = state == listed_state::ready ? 1 : 2;
         return made;
@@ -209,10 +230,10 @@
         return made;
     }
 
-    /// Delivers changes to the first machine's node once it watches the registry.
-    void change(std::vector<registry_change> changes) {
-        REQUIRE(run_until([&] { return registries[0]->is_watched(); }));
-        registries[0]->change(std::move(changes));
+    /// Delivers changes to the node of a machine once it watches the registry.
+    void change(std::vector<registry_change> changes, std::size_t machine = 0) {
+        REQUIRE(run_until([&] { return registries[machine]->is_watched(); }));
+        registries[machine]->change(std::move(changes));
     }
 
     bool run_until(const std::function<bool()>& condition) {
@@ -223,7 +244,9 @@
         return condition();
     }
 
-    void send(reply& into, const std::string& path, std::vector<http_header> headers = {}) {
+    /// Sends a request from a caller of the machine.
+    void send(reply& into, const std::string& path, std::vector<http_header> headers = {},
+              std::size_t machine = 0) {
         http1::request_head head;
         head.method = "GET";
         head.target = path;
@@ -231,7 +254,7 @@
         head.headers.push_back({"host", "h"});
         head.headers.push_back({"id", "caller-1"});
         into.running =
-            client->start({ip(0), caller_port}, head, {}, true, {},
+            client->start({ip(machine), caller_port}, head, {}, true, {},
                           [&into](http1::exchange_event event) { take(into, std::move(event)); });
     }
 
@@ -249,9 +272,10 @@
                    event);
     }
 
-    reply ask(const std::string& path, std::vector<http_header> headers = {}) {
+    reply ask(const std::string& path, std::vector<http_header> headers = {},
+              std::size_t machine = 0) {
         reply got;
-        send(got, path, std::move(headers));
+        send(got, path, std::move(headers), machine);
         REQUIRE(run_until([&] { return got.is_finished; }));
         return got;
     }
