Hold the limit that a target names, at the proxy beside it

Cause: the limit was passed on to callers and read by nobody. Load was judged by latency and slots, and a limit below the slots changes neither while the target still answers. Class of fault: a bound that no component owns.

Change: the proxy beside a target is the only way to it, so it alone can hold the sum over all machines without shared state. Admission gets a rate limiter (generic cell rate algorithm, a burst of 250 ms of the rate): a call beyond the limit waits in the queue and is refused at once if its wait would exceed what it may, by priority and with the time to return, as for slots. The reported limit becomes the number of calls in flight on average at that rate, so that other proxies place their requests where there is room; the adaptive concurrency limit is not touched, and nothing is ejected.

A proxy that restarts has not heard the limit, but other machines stay bound by it: proxies tell the limit that they have heard with each request to the target, and the new proxy applies it until the target's first answer. A target that restarts starts without a limit.

The test now measures its rounds with a timer; before, waiting for loop events stretched them, on the old code as well.

--- a/libs/admission/include/trefoil/admission/admission.hpp
+++ b/libs/admission/include/trefoil/admission/admission.hpp
@@ -11,6 +11,7 @@
 
 #include <trefoil/admission/admission_level.hpp>
 #include <trefoil/admission/concurrency_limit.hpp>
+#include <trefoil/admission/rate_limiter.hpp>
 #include <trefoil/admission/service_times.hpp>
 #include <trefoil/base/ids.hpp>
 #include <trefoil/base/time.hpp>
@@ -150,8 +151,12 @@
     /// Changes the number of slots that the target declares.
     void set_slots(std::uint32_t slots);
 
+    /// Sets the calls a second that the target accepts, or removes the limit. Calls beyond it wait
+    /// in the queue and are refused like those for which there is no slot.
+    void set_rate_limit(std::optional<double> calls_per_second);
+
     /// Expected queueing time of a call with this position.
-    duration expected_wait(std::uint32_t position) const;
+    duration expected_wait(time_point now, std::uint32_t position) const;
 
     /// Position of the last call in the queue, if the queue has been non-empty for at least
     /// `standing_time`. A standing queue is not a burst: the offered load exceeds what the target
@@ -164,7 +169,8 @@
     /// The highest position that is currently admitted, plus one.
     std::uint32_t threshold() const;
 
-    /// Calls in flight, calls waiting and the current limit.
+    /// Calls in flight, calls waiting and the current limit. With a rate limit, the reported limit
+    /// is at most the number of calls that are in flight on average at that rate.
     load_report load() const;
 
     /// Time at which advance() is due without a further event; empty if no call waits.
@@ -184,6 +190,7 @@
 
     std::uint32_t queue_limit() const;
     std::uint32_t limit() const;
+    bool may_dispatch(time_point now) const;
     void record_state(time_point now);
     bool is_kind_at_limit(const admission_request& request) const;
     bool exceeds_wait_limit(time_point now, const admission_request& request) const;
@@ -197,6 +204,7 @@
 
     admission_settings settings_;
     concurrency_limit limit_;
+    rate_limiter rate_;
     service_times service_times_;
     admission_level level_;
     queue queue_;
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -1,6 +1,7 @@
 #include <trefoil/admission/admission.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <trefoil/admission/admission_position.hpp>
@@ -85,7 +86,7 @@
 }
 
 void admission::dispatch_waiting(time_point now, std::vector<admission_decision>& out) {
-    for (auto at = queue_.begin(); at != queue_.end() && in_flight_.size() < limit();) {
+    for (auto at = queue_.begin(); at != queue_.end() && may_dispatch(now);) {
         const auto& request = at->second.request;
         if (misses_deadline(now, request)) {
             at = dequeue(at, refusal::deadline, out);
@@ -93,10 +94,15 @@
             ++at;
         } else {
             at = dequeue(at, refusal::none, out);
+            rate_.record_start(now);
         }
     }
 }
 
+bool admission::may_dispatch(time_point now) const {
+    return in_flight_.size() < limit() && rate_.next_start() <= now;
+}
+
 void admission::trim_queue(std::vector<admission_decision>& out) {
     while (queue_.size() > queue_limit()) {
         dequeue(std::prev(queue_.end()), refusal::overload, out);
@@ -151,19 +157,31 @@
     limit_.set_highest(std::min(slots, settings_.connections));
 }
 
-duration admission::expected_wait(std::uint32_t position) const {
-    if (in_flight_.size() < limit()) {
+void admission::set_rate_limit(std::optional<double> calls_per_second) {
+    rate_.set_rate(calls_per_second);
+}
+
+duration admission::expected_wait(time_point now, std::uint32_t position) const {
+    if (may_dispatch(now)) {
         return duration{0};
     }
     const auto ahead =
         std::distance(queue_.begin(), queue_.upper_bound({position, next_sequence_}));
-    return service_times_.mean() * (ahead + 1) / std::max<std::uint32_t>(limit(), 1);
+    auto wait = duration{0};
+    if (in_flight_.size() >= limit()) {
+        wait = service_times_.mean() * (ahead + 1) / std::max<std::uint32_t>(limit(), 1);
+    }
+    if (const auto rate = rate_.rate()) {
+        const auto until_next = std::max(rate_.next_start() - now, duration{0});
+        wait = std::max(wait, until_next + from_seconds(static_cast<double>(ahead) / *rate));
+    }
+    return wait;
 }
 
 bool admission::exceeds_wait_limit(time_point now, const admission_request& request) const {
     return settings_.policy.wait_refusal &&
-           (expected_wait(request.position) > request.max_wait ||
-            now + expected_wait(request.position) > request.deadline);
+           (expected_wait(now, request.position) > request.max_wait ||
+            now + expected_wait(now, request.position) > request.deadline);
 }
 
 std::optional<std::uint32_t> admission::standing_position(time_point now) const {
@@ -178,15 +196,25 @@
 }
 
 load_report admission::load() const {
+    auto usable = limit();
+    if (const auto rate = rate_.rate()) {
+        // Little's law.
+        const auto in_flight_on_average = std::ceil(*rate * to_seconds(service_times_.mean()));
+        usable = std::min(usable, static_cast<std::uint32_t>(std::max(in_flight_on_average, 1.0)));
+    }
     return {static_cast<std::uint32_t>(in_flight_.size()),
-            static_cast<std::uint32_t>(queue_.size()), limit()};
+            static_cast<std::uint32_t>(queue_.size()), usable};
 }
 
 std::optional<time_point> admission::next_deadline() const {
     if (deadlines_.empty()) {
         return std::nullopt;
     }
-    return deadlines_.begin()->first + duration{1};
+    auto next = deadlines_.begin()->first + duration{1};
+    if (rate_.rate() && in_flight_.size() < limit()) {
+        next = std::min(next, rate_.next_start());
+    }
+    return next;
 }
 
 void admission::record_state(time_point now) {
--- a/libs/base/include/trefoil/base/time.hpp
+++ b/libs/base/include/trefoil/base/time.hpp
@@ -41,4 +41,9 @@
     return static_cast<double>(value.count()) / 1e6;
 }
 
+/// Converts a number of seconds, truncated to whole microseconds.
+constexpr duration from_seconds(double value) {
+    return duration(static_cast<duration::rep>(value * 1e6));
+}
+
 } // namespace trefoil
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -33,6 +33,9 @@
     }
     terms_ = *terms;
     terms_.remaining = *left;
+    if (const auto limit = decode_rate_limit(find_header(headers, limit_field))) {
+        state_.dispatcher.apply_reported_limit(*limit);
+    }
     const auto* local_entry = state_.directory.at_address(state_.settings.target);
     const bool is_leaving = state_.is_stopping || (local_entry != nullptr &&
                                                    local_entry->state == listed_state::draining);
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -10,6 +10,7 @@
 #include "finished_call.hpp"
 #include "local_response.hpp"
 #include "peer_attempt.hpp"
+#include "target_announcement.hpp"
 
 namespace trefoil {
 namespace {
@@ -247,9 +248,11 @@
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
-    attempt_->operation = start_peer_attempt(
-        state_.peers, state_.settings.header_names,
-        {peer, make_head(instance), body_, is_body_complete_, current_terms()}, std::move(handler));
+    attempt_->operation =
+        start_peer_attempt(state_.peers, state_.settings.header_names,
+                           {peer, make_head(instance), body_, is_body_complete_, current_terms(),
+                            state_.placer.rate_limit(instance.id)},
+                           std::move(handler));
 }
 
 void outbound_call::handle_event(attempt_event event) {
@@ -311,6 +314,7 @@
     const bool is_error = reply.head.status >= 500;
     report_to_placement(is_error ? attempt_result::answered_error : attempt_result::answered,
                         reply.load);
+    read_announcement(reply.head.headers);
     const bool is_retryable = is_error && reply.is_complete && terms_.is_idempotent() &&
                               reply.head.status != 504 &&
                               reply.downstream < downstream_state::failed && !fallback_;
@@ -325,6 +329,13 @@
     start_next_attempt();
 }
 
+void outbound_call::read_announcement(const std::vector<http_header>& headers) {
+    const auto& instance = attempt_->instance;
+    const target_announcement current{state_.placer.rate_limit(instance), false};
+    const auto updated = updated_announcement(current, state_.settings.header_names, headers);
+    state_.placer.set_rate_limit(instance, updated.rate_limit);
+}
+
 void outbound_call::relay_reply(attempt_reply reply) {
     const auto status = reply.head.status;
     const bool is_complete = reply.is_complete;
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -61,6 +61,8 @@
     void handle_refusal(const attempt_refusal& refused);
     void handle_failure(const attempt_failure& failed);
     void handle_reply(attempt_reply reply);
+    /// Records what the instance of the running attempt announces in its answer.
+    void read_announcement(const std::vector<http_header>& headers);
     void relay_reply(attempt_reply reply);
     void handle_piece(const http1::body_piece& piece);
     /// Ends the call when no further attempt is made: relays the error response of a target if
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -4,6 +4,7 @@
 #include <trefoil/http1/header_rules.hpp>
 
 #include "reply_collector.hpp"
+#include "target_announcement.hpp"
 
 namespace trefoil {
 namespace {
@@ -21,6 +22,10 @@
 
     void start(http1::client& client, const header_field_names& fields, peer_request request) {
         request.head.headers.push_back({std::string(terms_field), encode_terms(request.terms)});
+        if (request.rate_limit) {
+            request.head.headers.push_back(
+                {std::string(limit_field), encode_rate_limit(*request.rate_limit)});
+        }
         set_header(request.head.headers, fields.remaining_time,
                    encode_milliseconds(request.terms.remaining));
         http1::exchange_options options;
--- a/libs/proxy/src/peer_attempt.hpp
+++ b/libs/proxy/src/peer_attempt.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <trefoil/http1/client.hpp>
@@ -19,6 +20,8 @@
     std::string body;
     bool is_body_complete = true;
     run_terms terms;
+    /// Rate limit that the target has named in its answers to this node.
+    std::optional<double> rate_limit;
 };
 
 /// Sends the request to the peer. The handler is called asynchronously.
--- a/libs/proxy/src/peer_message.hpp
+++ b/libs/proxy/src/peer_message.hpp
@@ -49,6 +49,10 @@
 /// Header field with the load report, on responses between proxies.
 inline constexpr std::string_view load_field = "trefoil-load";
 
+/// Header field with the rate limit that the sender has heard from the target, on requests between
+/// proxies. The proxy beside the target may have restarted since.
+inline constexpr std::string_view limit_field = "trefoil-limit";
+
 /// True for header fields that only proxies may set.
 bool is_peer_field(std::string_view lower_case_name);
 
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -207,7 +207,7 @@
     const bool is_restart = local_started_at_ms_ != 0;
     local_started_at_ms_ = local_entry->started_at_ms;
     if (is_restart) {
-        state_.dispatcher.set_cold();
+        state_.dispatcher.target_restarted();
     }
     state_.add_log_record(log_class::state_change, [&] {
         return log_record{log_event::own_target_changed,
--- a/libs/proxy/src/target_announcement.cpp
+++ b/libs/proxy/src/target_announcement.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cmath>
 
+#include <fmt/format.h>
+
 #include <trefoil/http1/header_rules.hpp>
 
 namespace trefoil {
@@ -22,6 +24,10 @@
     return value;
 }
 
+std::string encode_rate_limit(double requests_per_second) {
+    return fmt::format("{:.3f}", requests_per_second);
+}
+
 target_announcement updated_announcement(const target_announcement& current,
                                          const header_field_names& fields,
                                          const std::vector<http_header>& headers) {
--- a/libs/proxy/src/target_announcement.hpp
+++ b/libs/proxy/src/target_announcement.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,9 @@
 /// of at least 0.
 std::optional<double> decode_rate_limit(std::string_view text);
 
+/// Formats a rate limit so that decode_rate_limit() reads it.
+std::string encode_rate_limit(double requests_per_second);
+
 /// Returns what the target announces after an answer with these headers. A limit holds until an
 /// answer lacks it. A limit that is malformed, and an answer that repeats no request id and so may
 /// not be the target's own, leave the limit unchanged. A target that is leaving does not come back.
--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -322,7 +322,7 @@
     attempt_refusal result;
     result.reason = reason;
     result.load = load();
-    result.retry_after = admission_.expected_wait(position);
+    result.retry_after = admission_.expected_wait(now(), position);
     return result;
 }
 
@@ -360,10 +360,22 @@
 }
 
 void target_dispatcher::read_announcement(const std::vector<http_header>& headers) {
-    const auto updated = updated_announcement(announcement_, fields_, headers);
-    if (updated != announcement_) {
-        announcement_ = updated;
-        on_announcement_(updated);
+    has_answered_ = true;
+    announce(updated_announcement(announcement_, fields_, headers));
+}
+
+void target_dispatcher::announce(const target_announcement& updated) {
+    if (updated == announcement_) {
+        return;
+    }
+    announcement_ = updated;
+    admission_.set_rate_limit(updated.rate_limit);
+    on_announcement_(updated);
+}
+
+void target_dispatcher::apply_reported_limit(double requests_per_second) {
+    if (!has_answered_) {
+        announce({requests_per_second, announcement_.is_leaving});
     }
 }
 
@@ -385,9 +397,11 @@
     advance();
 }
 
-void target_dispatcher::set_cold() {
+void target_dispatcher::target_restarted() {
     admission_.target_changed(now(), false);
     admission_.target_changed(now(), true);
+    announce({});
+    advance();
 }
 
 load_report target_dispatcher::load() const {
--- a/libs/proxy/src/target_dispatcher.hpp
+++ b/libs/proxy/src/target_dispatcher.hpp
@@ -62,12 +62,17 @@
 
     /// Sets the number of slots that the target declares.
     void set_slots(std::uint32_t slots);
-    /// Notes that the process of the target has restarted and is slow at first.
-    void set_cold();
+    /// Notes that the process of the target has restarted. It is slow at first, and what the
+    /// previous process has announced no longer holds.
+    void target_restarted();
 
     /// What the target has announced in its answers.
     const target_announcement& announcement() const { return announcement_; }
 
+    /// Applies the rate limit that another node has heard from the target. It counts only until the
+    /// target's first answer to this node, which may have restarted since the target named it.
+    void apply_reported_limit(double requests_per_second);
+
     load_report load() const;
     const http1::client_counts& counts() const { return client_.counts(); }
 
@@ -94,6 +99,8 @@
     /// of a running request.
     void cancel(call_id call, time_point since);
     void read_announcement(const std::vector<http_header>& headers);
+    /// Applies and reports an announcement that differs from the last one.
+    void announce(const target_announcement& updated);
     void arm_timer();
     /// True if the queue has not been empty for a long time and the priority of this request is not
     /// higher than that of the last request in the queue.
@@ -106,6 +113,7 @@
     crash_detector& crashes_;
     announcement_handler on_announcement_;
     target_announcement announcement_;
+    bool has_answered_ = false;
     http1::client client_;
     admission admission_;
     downstream_limiter downstream_limiter_;
--- a/libs/proxy/tests/target_limit_test.cpp
+++ b/libs/proxy/tests/target_limit_test.cpp
@@ -3,6 +3,8 @@
 
 #include <list>
 
+#include <trefoil/http1/loop_timer.hpp>
+
 #include "two_machine_site.hpp"
 
 using namespace trefoil;
@@ -27,8 +29,10 @@
 }
 
 void run_for(two_machine_site& site, duration span) {
-    const auto end = uv_hrtime() + static_cast<std::uint64_t>(span.count()) * 1000;
-    site.run_until([&] { return uv_hrtime() >= end; });
+    bool is_over = false;
+    http1::loop_timer timer(&site.loop, [&] { is_over = true; });
+    timer.start(span);
+    site.run_until([&] { return is_over; });
 }
 
 void finish(two_machine_site& site, std::list<reply>& replies) {
@@ -72,8 +76,8 @@
         send_burst(site, replies, 0, 4);
         run_for(site, round_interval);
     }
-    finish(site, replies);
     CHECK(site.reached(0) <= allowed_within(rounds * round_interval));
+    finish(site, replies);
     CHECK(std::all_of(replies.begin(), replies.end(),
                       [](const reply& one) { return one.status == 200; }));
 }
--- a/libs/traffic/include/trefoil/traffic/placement.hpp
+++ b/libs/traffic/include/trefoil/traffic/placement.hpp
@@ -72,6 +72,12 @@
     /// for 3 s.
     void set_leaving(time_point now, const instance_id& instance);
 
+    /// Records the requests a second that the instance has named as its limit, or that it names
+    /// none.
+    void set_rate_limit(const instance_id& instance, std::optional<double> requests_per_second);
+    /// Returns the limit that the instance has named, if any.
+    std::optional<double> rate_limit(const instance_id& instance) const;
+
 private:
     struct latency_estimate {
         double mean_us = 0;
@@ -86,6 +92,7 @@
         std::uint32_t in_flight_at_report = 0;
         time_point overloaded_until;
         time_point leaving_until;
+        std::optional<double> rate_limit;
         instance_health health;
         std::unordered_map<std::string, latency_estimate> latencies;
         time_point last_used;
--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -188,6 +188,16 @@
     state.last_used = now;
 }
 
+void placement::set_rate_limit(const instance_id& instance,
+                               std::optional<double> requests_per_second) {
+    states_[instance].rate_limit = requests_per_second;
+}
+
+std::optional<double> placement::rate_limit(const instance_id& instance) const {
+    const auto found = states_.find(instance);
+    return found == states_.end() ? std::nullopt : found->second.rate_limit;
+}
+
 void placement::evict_unused(time_point now) {
     if (now < next_sweep_) {
         return;
