Reproduce requests to a target whose answers say that it leaves

Four of the five tests fail: the header is passed on and nobody acts on it, so a target goes on getting requests, from its own machine and from others, until the registry lists it as draining.

--- /dev/null
+++ b/libs/proxy/tests/target_leaving_test.cpp
@@ -0,0 +1,65 @@
+// Tests of targets that say in their answers that they leave.
+#include <doctest/doctest.h>
+
+#include "two_machine_site.hpp"
+
+using namespace trefoil;
+
+TEST_CASE("a target that has said that it leaves gets no more requests from that machine") {
+    two_machine_site site;
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/write/1").status == 200);
+    REQUIRE(site.reached(0) == 1);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(site.ask("/write/" + std::to_string(i)).status == 200);
+    }
+    CHECK(site.reached(0) == 1);
+    CHECK(site.reached(1) == 5);
+}
+
+TEST_CASE("a target that has said that it leaves gets no request even if it is the only one") {
+    two_machine_site site;
+    site.change({instance_removed{instance_id("i1")}});
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/read/1").status == 200);
+    const auto got = site.ask("/read/2");
+    CHECK(got.status == 503);
+    CHECK_FALSE(find_header(got.headers, "retry-after").empty());
+    CHECK(site.reached(0) == 1);
+}
+
+TEST_CASE("a machine remembers that a target leaves although the target's proxy has restarted") {
+    two_machine_site site;
+    for (std::size_t i = 0; i < 2; ++i) {
+        site.change({instance_removed{instance_id("i1")}}, i);
+    }
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/read/1", {}, 1).status == 200);
+    site.restart_node(0);
+    CHECK(site.ask("/read/2", {}, 1).status == 503);
+    CHECK(site.reached(0) == 1);
+}
+
+TEST_CASE("the registry does not bring back a target that has said that it leaves") {
+    two_machine_site site;
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/read/1").status == 200);
+    auto next_report = site.instance(0);
+    next_report.sequence = 7;
+    next_report.slots = 5;
+    site.change({next_report});
+    CHECK(site.ask("/read/2").status == 200);
+    CHECK(site.reached(0) == 1);
+}
+
+TEST_CASE("the next process of a target that left gets requests again") {
+    two_machine_site site;
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/read/1").status == 200);
+    site.targets[0]->is_leaving = false;
+    auto restarted = site.instance(0);
+    restarted.started_at_ms = 1;
+    site.change({restarted});
+    CHECK(site.ask("/read/2").status == 200);
+    CHECK(site.reached(0) == 2);
+}
