Send nothing more to a target whose answers say that it leaves

Requests went on reaching a target that had said in all its answers that it leaves, until the registry listed it as draining; while the store is away, as long as the target lived (DRAIN for the machines that had passed on such an answer).

Change: instance_directory keeps the processes that have said that they leave. Their entries count as draining from then on, whatever the registry lists, and are no longer a last resort of placement, until a later process is listed under the id. Each proxy marks an instance when it passes on such an answer; the proxy beside the target marks it with the first one and refuses further requests of others as leaving, so that they move at once. A proxy that restarts forgets, but the machines that were told do not ask it. The process of a target is now told by id and start, so that a target without a start time that returns under another id counts as new.

--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -234,7 +234,7 @@
     }
     excluded_.push_back(instance.id);
     state_.placer.started(now, instance.id);
-    attempt_ = running_attempt{instance.id, now, is_retry, nullptr};
+    attempt_ = running_attempt{instance.id, instance.started_at_ms, now, is_retry, nullptr};
     auto handler = [this](attempt_event event) { handle_event(std::move(event)); };
     if (instance.target == state_.settings.target) {
         auto made = state_.dispatcher.submit(
@@ -334,6 +334,9 @@
     const target_announcement current{state_.placer.rate_limit(instance), false};
     const auto updated = updated_announcement(current, state_.settings.header_names, headers);
     state_.placer.set_rate_limit(instance, updated.rate_limit);
+    if (updated.is_leaving) {
+        state_.set_leaving(instance, attempt_->instance_started_at_ms);
+    }
 }
 
 void outbound_call::relay_reply(attempt_reply reply) {
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -36,6 +36,8 @@
     /// The attempt in progress.
     struct running_attempt {
         instance_id instance;
+        /// Start of the instance's process as listed when it was chosen.
+        std::int64_t instance_started_at_ms = 0;
         time_point since;
         /// True if the attempt has used a retry from the retry limiter.
         bool is_retry = false;
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -43,10 +43,24 @@
         add_log_record(log_class::state_change, [] {
             return log_record{log_event::target_leaving, {}};
         });
+        if (const auto* local_entry = directory.at_address(settings.target)) {
+            set_leaving(local_entry->id, local_entry->started_at_ms);
+        }
     }
     logged_announcement = announced;
 }
 
+void proxy_state::set_leaving(const instance_id& instance, std::int64_t started_at_ms) {
+    const auto change = directory.announce_leaving(now(), instance, started_at_ms);
+    if (change != directory_change::draining) {
+        return;
+    }
+    add_log_record(log_class::state_change, [&] {
+        return log_record{log_event::instance_leaving,
+                          {{"instance", instance.str()}, {"cause", "announced"}}};
+    });
+}
+
 void proxy_state::broadcast_crash(const crash_notice& notice) {
     add_log_record(log_class::state_change, [&] {
         return log_record{log_event::target_down,
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -41,9 +41,12 @@
         }
     }
 
-    /// Logs what the local target has announced.
+    /// Applies and logs what the local target has announced.
     void handle_announcement(const target_announcement& announced);
 
+    /// Sends no more requests to the process of the instance that started at `started_at_ms`.
+    void set_leaving(const instance_id& instance, std::int64_t started_at_ms);
+
     /// Sends the requests that were running when the local target crashed to every other node.
     void broadcast_crash(const crash_notice& notice);
 
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -201,11 +201,12 @@
         state_.routes == nullptr ? 0 : state_.routes->max_connections(local_entry->service);
     state_.dispatcher.set_slots(connections == 0 ? local_entry->slots
                                                  : std::min(local_entry->slots, connections));
-    if (local_entry->started_at_ms == local_started_at_ms_) {
+    const std::pair process(local_entry->id, local_entry->started_at_ms);
+    if (process == local_process_) {
         return;
     }
-    const bool is_restart = local_started_at_ms_ != 0;
-    local_started_at_ms_ = local_entry->started_at_ms;
+    const bool is_restart = local_process_.has_value();
+    local_process_ = process;
     if (is_restart) {
         state_.dispatcher.target_restarted();
     }
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <trefoil/http1/loop_timer.hpp>
@@ -68,7 +69,8 @@
     std::optional<time_point> last_answer_;
     /// Time between the last two answers of the registry.
     duration silence_{0};
-    std::int64_t local_started_at_ms_ = 0;
+    /// The process of the local target as last listed; empty before the first.
+    std::optional<std::pair<instance_id, std::int64_t>> local_process_;
     /// Fires at the end of a pause between two steps.
     http1::loop_timer timer_;
 };
--- a/libs/proxy/tests/target_leaving_test.cpp
+++ b/libs/proxy/tests/target_leaving_test.cpp
@@ -28,6 +28,17 @@
     CHECK(site.reached(0) == 1);
 }
 
+TEST_CASE("a proxy refuses further requests of others to its target once that has said it leaves") {
+    two_machine_site site;
+    for (std::size_t i = 0; i < 2; ++i) {
+        site.change({instance_removed{instance_id("i1")}}, i);
+    }
+    site.targets[0]->is_leaving = true;
+    CHECK(site.ask("/read/1", {}, 0).status == 200);
+    CHECK(site.ask("/read/2", {}, 1).status == 503);
+    CHECK(site.reached(0) == 1);
+}
+
 TEST_CASE("a machine remembers that a target leaves although the target's proxy has restarted") {
     two_machine_site site;
     for (std::size_t i = 0; i < 2; ++i) {
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -72,6 +72,12 @@
     /// the grace period after it, the entry is held unless it is draining.
     directory_change remove(time_point now, const instance_id& id);
 
+    /// Records that the process of the instance that started at `started_at_ms` has said itself
+    /// that it leaves. Its entry counts as draining from then on, whatever the registry lists,
+    /// until the registry lists a later process under this id.
+    directory_change announce_leaving(time_point now, const instance_id& id,
+                                      std::int64_t started_at_ms);
+
     /// Notes the start and the end of a registry outage.
     void source_lost();
     void source_regained(time_point now);
@@ -112,6 +118,15 @@
         time_point removed_at;
     };
 
+    /// A process that has said that it leaves.
+    struct leaving_process {
+        std::int64_t started_at_ms = 0;
+        time_point announced_at;
+    };
+
+    /// Retention of the announcements of processes that are not listed.
+    static constexpr duration leaving_process_lifetime = std::chrono::minutes(10);
+
     /// Retention of the last report of a removed entry.
     static constexpr duration last_report_lifetime = 60s;
 
@@ -119,6 +134,8 @@
     bool may_have_expired(time_point now) const;
     bool is_outdated(const listed_instance& listed) const;
     void erase(time_point now, const instance_id& id);
+    /// Sets the state of an entry to draining if its process has said that it leaves.
+    void apply_announcement(listed_instance& listed);
     /// Adds or updates an entry without rebuilding the indexes.
     directory_change store(listed_instance listed);
     /// Rebuilds the indexes by service and by address.
@@ -126,6 +143,7 @@
 
     std::map<instance_id, entry> entries_;
     std::unordered_map<instance_id, last_report> last_reports_;
+    std::unordered_map<instance_id, leaving_process> leaving_processes_;
     std::unordered_map<service_name, std::vector<listed_instance>> usable_;
     /// Id of the last listed entry for each target address.
     std::map<endpoint, instance_id> by_address_;
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -74,6 +74,7 @@
     if (is_outdated(listed)) {
         return directory_change::outdated;
     }
+    apply_announcement(listed);
     auto& stored = entries_[listed.id];
     const bool is_new = stored.listed.id.empty();
     const bool is_known = !is_new && !stored.missing_since;
@@ -109,6 +110,39 @@
     return directory_change::removed;
 }
 
+directory_change instance_directory::announce_leaving(time_point now, const instance_id& id,
+                                                      std::int64_t started_at_ms) {
+    std::erase_if(leaving_processes_, [&](const auto& item) {
+        return !entries_.contains(item.first) &&
+               now - item.second.announced_at > leaving_process_lifetime;
+    });
+    leaving_processes_[id] = {started_at_ms, now};
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return directory_change::none;
+    }
+    auto& listed = found->second.listed;
+    const bool was_ready = listed.state == listed_state::ready;
+    apply_announcement(listed);
+    if (!was_ready || listed.state == listed_state::ready) {
+        return directory_change::none;
+    }
+    rebuild();
+    return directory_change::draining;
+}
+
+void instance_directory::apply_announcement(listed_instance& listed) {
+    const auto found = leaving_processes_.find(listed.id);
+    if (found == leaving_processes_.end()) {
+        return;
+    }
+    if (listed.started_at_ms > found->second.started_at_ms) {
+        leaving_processes_.erase(found);
+        return;
+    }
+    listed.state = listed_state::draining;
+}
+
 void instance_directory::source_lost() {
     is_source_lost_ = true;
 }
--- a/libs/traffic/tests/instance_directory_test.cpp
+++ b/libs/traffic/tests/instance_directory_test.cpp
@@ -142,3 +142,31 @@
     fixture.directory.remove(fixture.now, next.id);
     CHECK(fixture.usable() == 1);
 }
+
+TEST_CASE("an instance that has said that it leaves is draining until its next process is listed") {
+    directory_fixture fixture;
+    fixture.directory.put(make_instance("i"));
+    CHECK(fixture.directory.announce_leaving(fixture.now, instance_id("i"), 1000) ==
+          directory_change::draining);
+    CHECK(fixture.usable() == 0);
+    CHECK(fixture.directory.announce_leaving(fixture.now, instance_id("i"), 1000) ==
+          directory_change::none);
+    fixture.directory.put(make_instance("i", 2));
+    fixture.directory.replace(fixture.now, {make_instance("i", 3)});
+    CHECK(fixture.usable() == 0);
+    fixture.directory.remove(fixture.now, instance_id("i"));
+    fixture.directory.put(make_instance("i", 4));
+    CHECK(fixture.usable() == 0);
+    auto restarted = make_instance("i", 1);
+    restarted.started_at_ms = 2000;
+    fixture.directory.put(restarted);
+    CHECK(fixture.usable() == 1);
+}
+
+TEST_CASE("what an earlier process of an instance said does not bind the listed one") {
+    directory_fixture fixture;
+    fixture.directory.put(make_instance("i"));
+    CHECK(fixture.directory.announce_leaving(fixture.now, instance_id("i"), 500) ==
+          directory_change::none);
+    CHECK(fixture.usable() == 1);
+}
