Believe a refusal only if it repeats the id of its request

It could happen here: an answer with another id was discarded, but a refusal without an id was taken as that of the request that ran. In the test a request that must not be repeated then ran at the other machine's target, and the caller got 503. A refusal that does not repeat the id is now a failure after which the request may have run. Targets repeat the id in all answers, so nothing changes for sound ones.

--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -189,8 +189,8 @@
         if (request_.terms.is_nested && dispatcher_.is_busy_for(request_.terms)) {
             reply.downstream = std::max(reply.downstream, downstream_state::busy);
         }
-        auto classified =
-            classify_target_response(dispatcher_.fields_, request_.terms.repeats, std::move(reply));
+        auto classified = classify_target_response(
+            dispatcher_.fields_, {request_.request_id, request_.terms.repeats}, std::move(reply));
         if (auto* refused = std::get_if<attempt_refusal>(&classified)) {
             // The target has received fewer requests than it has slots, so a lack of slots is not
             // the cause of its refusal.
--- a/libs/proxy/src/target_response.cpp
+++ b/libs/proxy/src/target_response.cpp
@@ -16,14 +16,17 @@
 
 } // namespace
 
-attempt_event classify_target_response(const header_field_names& fields, repeatability repeats,
-                                       attempt_reply reply) {
+attempt_event classify_target_response(const header_field_names& fields,
+                                       const answered_request& request, attempt_reply reply) {
     const auto& head = reply.head;
     const bool is_not_executed = !find_header(head.headers, fields.not_executed).empty();
     if (head.status == 421 || (is_not_executed && implies_not_run(head.status))) {
+        if (find_header(head.headers, fields.request_id) != request.id) {
+            return attempt_failure{attempt_error::bad_answer};
+        }
         return make_refusal(refusal_for(head.status), true);
     }
-    if (implies_not_run(head.status) && repeats == repeatability::at_most_once) {
+    if (implies_not_run(head.status) && request.repeats == repeatability::at_most_once) {
         return attempt_failure{attempt_error::bad_answer};
     }
     const bool is_success = head.status / 100 == 2;
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -61,31 +61,43 @@
 
 TEST_CASE("a response that states that the request was not run is a refusal") {
     const auto fields = make_fields();
-    const auto classified = classify_target_response(fields, repeatability::at_most_once,
-                                                     reply_of(503, {{"not-executed", "1"}}));
+    const auto classified =
+        classify_target_response(fields, {"caller-1", repeatability::at_most_once},
+                                 reply_of(503, {{"id", "caller-1"}, {"not-executed", "1"}}));
     REQUIRE(std::holds_alternative<attempt_refusal>(classified));
     CHECK(std::get<attempt_refusal>(classified).reached_target);
-    CHECK(std::holds_alternative<attempt_refusal>(
-        classify_target_response(fields, repeatability::at_most_once, reply_of(421, {}))));
+    CHECK(std::holds_alternative<attempt_refusal>(classify_target_response(
+        fields, {"caller-1", repeatability::at_most_once}, reply_of(421, {{"id", "caller-1"}}))));
+}
+
+TEST_CASE("a refusal without the id of the request is not taken as one") {
+    const auto fields = make_fields();
+    for (const auto repeats : {repeatability::at_most_once, repeatability::idempotent}) {
+        for (const int status : {408, 421, 429, 503}) {
+            CHECK(std::holds_alternative<attempt_failure>(classify_target_response(
+                fields, {"caller-1", repeats}, reply_of(status, {{"not-executed", "1"}}))));
+        }
+    }
 }
 
 TEST_CASE("a not-run status without not-executed field is a failure for non-idempotent requests") {
     const auto fields = make_fields();
     for (const int status : {408, 429, 503}) {
-        CHECK(std::holds_alternative<attempt_failure>(classify_target_response(
-            fields, repeatability::at_most_once, reply_of(status, {{"stamp", "x"}}))));
+        CHECK(std::holds_alternative<attempt_failure>(
+            classify_target_response(fields, {"caller-1", repeatability::at_most_once},
+                                     reply_of(status, {{"stamp", "x"}}))));
     }
 }
 
 TEST_CASE("a success without the target's stamp or with a content encoding is a failure") {
     const auto fields = make_fields();
+    CHECK(std::holds_alternative<attempt_failure>(classify_target_response(
+        fields, {"caller-1", repeatability::idempotent}, reply_of(200, {}))));
     CHECK(std::holds_alternative<attempt_failure>(
-        classify_target_response(fields, repeatability::idempotent, reply_of(200, {}))));
-    CHECK(std::holds_alternative<attempt_failure>(
-        classify_target_response(fields, repeatability::idempotent,
+        classify_target_response(fields, {"caller-1", repeatability::idempotent},
                                  reply_of(200, {{"stamp", "x"}, {"content-encoding", "gzip"}}))));
     CHECK(std::holds_alternative<attempt_reply>(classify_target_response(
-        fields, repeatability::idempotent, reply_of(200, {{"stamp", "x"}}))));
+        fields, {"caller-1", repeatability::idempotent}, reply_of(200, {{"stamp", "x"}}))));
 }
 
 TEST_CASE("retry delays are spread out and shorter for higher priorities") {
--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -99,7 +99,9 @@
         const bool sheds = head.target.find("shed") != std::string::npos && is_shedding;
         out.status = sheds ? 503 : 200;
         out.reason = "-";
-        out.headers.push_back({"id", std::string(find_header(head.headers, "id"))});
+        if (!omits_id) {
+            out.headers.push_back({"id", std::string(find_header(head.headers, "id"))});
+        }
         if (!rate_limit.empty()) {
             out.headers.push_back({"rate-limit", rate_limit});
         }
@@ -118,6 +120,8 @@
     std::vector<std::shared_ptr<http1::served_request>> requests;
     int cancelled = 0;
     bool is_shedding = true;
+    /// If set, answers don't repeat the id of their request.
+    bool omits_id = false;
     /// Named in all answers if it is not empty.
     std::string rate_limit;
     /// If set, all answers say that the target leaves.
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -56,6 +56,15 @@
     CHECK(site.reached(1) == 1);
 }
 
+TEST_CASE("a refusal that may belong to an earlier request does not let a request run twice") {
+    two_machine_site site;
+    site.targets[0]->omits_id = true;
+    const auto got = site.ask("/write/shed");
+    CHECK(got.status == 502);
+    CHECK(site.reached(0) == 1);
+    CHECK(site.reached(1) == 0);
+}
+
 TEST_CASE("when no target has capacity the client gets 503 and a retry time") {
     two_machine_site site;
     const auto got = site.ask("/write/shed");
