Give up on a target whose bytes never become an answer

Thirteen forms are tested against a target of our own. Ten were bounded before by the limits on a head. Three were read until the caller's deadline: interim answers, answers that name another request, and the endless body of such an answer.

An exchange now fails with bad_answer, and its connection is closed, when more than 1 MiB arrives before the head of the expected answer. An endless body of the expected answer is passed on no faster than the receiver takes it, as before; a test states it.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -24,7 +24,8 @@
     /// The connection ended after part of the request may have been sent and before the first byte
     /// of a response.
     connection_lost,
-    /// The response is truncated or is not valid HTTP.
+    /// The response is truncated or is not valid HTTP, or does not begin within 1 MiB of interim
+    /// responses and responses to earlier requests.
     bad_answer,
 };
 
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -20,6 +20,10 @@
 /// request is sent while the peer closes the connection.
 constexpr std::chrono::milliseconds keep_alive_margin{700};
 
+/// Maximum number of bytes that are read before the expected response begins: interim responses and
+/// responses to earlier requests.
+constexpr std::size_t max_bytes_before_response = 1U << 20U;
+
 /// Returns the idle timeout announced by a `Keep-Alive: timeout=SECONDS` field, if there is one.
 std::optional<std::chrono::milliseconds> idle_timeout_of(const response_head& head) {
     const auto value = find_header(head.headers, "keep-alive");
@@ -98,6 +102,8 @@
         is_reusable_ = true;
         discards_answer_ = false;
         has_answer_bytes_ = false;
+        is_answer_begun_ = false;
+        bytes_before_answer_ = 0;
         if (has_no_body) {
             parser_.expect_no_body();
         }
@@ -132,6 +138,9 @@
     bool is_reusable_ = true;
     bool discards_answer_ = false;
     bool has_answer_bytes_ = false;
+    /// True once the head of the expected response has arrived.
+    bool is_answer_begun_ = false;
+    std::size_t bytes_before_answer_ = 0;
 };
 
 /// Implementation of exchange. It holds its connection until the exchange is over.
@@ -259,6 +268,12 @@
     std::vector<response_event> events;
     parser_.feed(bytes, events);
     handle_events(std::move(events));
+    if (exchange_ != nullptr && !is_answer_begun_) {
+        bytes_before_answer_ += bytes.size();
+        if (bytes_before_answer_ > max_bytes_before_response) {
+            fail(exchange_failure::bad_answer);
+        }
+    }
 }
 
 void client::impl::connection::on_closed(close_reason end_reason) {
@@ -318,6 +333,7 @@
     if (has_connection_close(head.headers)) {
         is_reusable_ = false;
     }
+    is_answer_begun_ = true;
     exchange_->emit(std::move(head));
 }
 
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -2,6 +2,7 @@
 // raw bytes.
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -118,6 +119,57 @@
     std::vector<std::unique_ptr<tcp_stream>> streams_;
 };
 
+/// A server that answers each request with a text followed by endless repetitions of another.
+class endless_target {
+public:
+    endless_target(uv_loop_t* loop, std::string start, const std::string& repeated)
+        : start_(std::move(start)), port_(free_port()) {
+        // Writing to a connection that the client has closed must not end the test.
+        std::signal(SIGPIPE, SIG_IGN);
+        while (piece_.size() < 65536) {
+            piece_ += repeated;
+        }
+        uv_tcp_init(loop, &listener_);
+        listener_.data = this;
+        sockaddr_in address{};
+        uv_ip4_addr("127.0.0.1", port_, &address);
+        uv_tcp_bind(&listener_, reinterpret_cast<sockaddr*>(&address), 0);
+        uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 16, [](uv_stream_t* stream, int) {
+            static_cast<endless_target*>(stream->data)->accept(stream);
+        });
+    }
+    ~endless_target() { uv_close(reinterpret_cast<uv_handle_t*>(&listener_), nullptr); }
+
+    endpoint listen_address() const { return {"127.0.0.1", port_}; }
+    bool is_closed() const { return is_closed_; }
+
+private:
+    void accept(uv_stream_t* stream) {
+        stream_ = tcp_stream::accept(stream->loop, stream,
+                                     {{},
+                                      [this](std::string_view) {
+                                          stream_->write(start_);
+                                          write_more();
+                                      },
+                                      [this](close_reason) { is_closed_ = true; },
+                                      [this] { write_more(); }});
+    }
+
+    /// Keeps the write buffer filled; called again whenever it is empty.
+    void write_more() {
+        do {
+            stream_->write(piece_);
+        } while (!is_closed_ && stream_->unsent_bytes() == 0);
+    }
+
+    std::string start_;
+    std::string piece_;
+    std::uint16_t port_;
+    uv_tcp_t listener_{};
+    std::unique_ptr<tcp_stream> stream_;
+    bool is_closed_ = false;
+};
+
 /// The response or the failure of one exchange.
 struct exchange_record {
     int status = 0;
@@ -230,6 +282,60 @@
     CHECK(record.has_failed);
 }
 
+TEST_CASE("bytes without an end that are no answer fail and close the connection") {
+    struct endless_case {
+        std::string name;
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<endless_case> cases = {
+        {"junk", "", "junk "},
+        {"blank lines", "", "\r\n"},
+        {"field value", "HTTP/1.1 200 OK\r\nx: ", "x"},
+        {"field name", "HTTP/1.1 200 OK\r\n", "x"},
+        {"fields", "HTTP/1.1 200 OK\r\n", "x: y\r\n"},
+        {"status text", "HTTP/1.1 200 ", "x"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"interim fields", "HTTP/1.1 100 Continue\r\n", "x: y\r\n"},
+        {"answers to others", "", ok_response("0", "late")},
+        {"body of another's answer", "HTTP/1.1 200 OK\r\nid: 0\r\n\r\n", "x"},
+        {"chunk extension",
+         "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", "x"},
+        {"chunk length", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+        {"trailers", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "x: y\r\n"},
+    };
+    for (const auto& one : cases) {
+        CAPTURE(one.name);
+        test_loop event_loop;
+        endless_target target(&event_loop.loop, one.start, one.repeated);
+        client sender(&event_loop.loop, {});
+        exchange_record record;
+        start_request(sender, target.listen_address(), record, "1");
+        CHECK(event_loop.run_until([&] { return record.is_finished(); }));
+        CHECK(record.has_failed);
+        CHECK(record.failure == exchange_failure::bad_answer);
+        record.handle.reset();
+        CHECK(event_loop.run_until([&] { return target.is_closed(); }));
+    }
+}
+
+TEST_CASE("an answer without an end is read no faster than its receiver takes it") {
+    test_loop event_loop;
+    endless_target target(&event_loop.loop, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "x");
+    client sender(&event_loop.loop, {});
+    exchange_record record;
+    start_request(sender, target.listen_address(), record, "1");
+    REQUIRE(event_loop.run_until([&] { return !record.body.empty(); }));
+    record.handle->pause();
+    const auto before = record.body.size();
+    const auto end = uv_hrtime() + 200'000'000ULL;
+    event_loop.run_until([&] { return uv_hrtime() > end; });
+    CHECK(record.body.size() == before);
+    record.handle.reset();
+    CHECK(event_loop.run_until([&] { return target.is_closed(); }));
+}
+
 TEST_CASE("a request without a listener fails as not sent") {
     test_loop event_loop;
     client sender(&event_loop.loop, {});
