--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -61,18 +61,24 @@
     return ntohs(address.sin_port);
 }
 
+/// Listens on a port of the loopback address. `owner` becomes the data of the listener.
+void listen_on_loopback(uv_loop_t* loop, uv_tcp_t& listener, std::uint16_t port, void* owner,
+                        uv_connection_cb on_connection) {
+    uv_tcp_init(loop, &listener);
+    listener.data = owner;
+    sockaddr_in address{};
+    uv_ip4_addr("127.0.0.1", port, &address);
+    uv_tcp_bind(&listener, reinterpret_cast<sockaddr*>(&address), 0);
+    uv_listen(reinterpret_cast<uv_stream_t*>(&listener), 16, on_connection);
+}
+
 /// A server that answers the n-th request with the n-th of the given texts, and all further
 /// requests with the last one.
 class raw_target {
 public:
     raw_target(uv_loop_t* loop, std::vector<std::string> answers)
         : answers_(std::move(answers)), port_(free_port()) {
-        uv_tcp_init(loop, &listener_);
-        listener_.data = this;
-        sockaddr_in address{};
-        uv_ip4_addr("127.0.0.1", port_, &address);
-        uv_tcp_bind(&listener_, reinterpret_cast<sockaddr*>(&address), 0);
-        uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 16, [](uv_stream_t* stream, int) {
+        listen_on_loopback(loop, listener_, port_, this, [](uv_stream_t* stream, int) {
             static_cast<raw_target*>(stream->data)->accept(stream);
         });
     }
@@ -129,12 +135,7 @@
         while (piece_.size() < 65536) {
             piece_ += repeated;
         }
-        uv_tcp_init(loop, &listener_);
-        listener_.data = this;
-        sockaddr_in address{};
-        uv_ip4_addr("127.0.0.1", port_, &address);
-        uv_tcp_bind(&listener_, reinterpret_cast<sockaddr*>(&address), 0);
-        uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 16, [](uv_stream_t* stream, int) {
+        listen_on_loopback(loop, listener_, port_, this, [](uv_stream_t* stream, int) {
             static_cast<endless_target*>(stream->data)->accept(stream);
         });
     }
