Refuse requests before a stop can cut them off

Cause: a stopping proxy took requests for 3.2 s and ends 5.7 s after the signal at the latest.

Change: requests are taken for 2.9 s.

--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -27,9 +27,9 @@
 /// Minimum time for which a stopping node serves callers, since they learn of the stop from its
 /// readiness endpoint.
 constexpr duration min_stop_time = 2500ms;
-/// A stopping node accepts requests of callers for this long. Later ones might not finish before
-/// the node exits.
-constexpr duration request_cutoff_time = 3200ms;
+/// A stopping node accepts requests of callers for this long. A request that was sent more than 3 s
+/// after the stop signal must not be cut off when the node exits.
+constexpr duration request_cutoff_time = 2900ms;
 /// A stopping node exits when no request is pending and no caller has sent one for this long.
 constexpr duration min_idle_time = 400ms;
 /// A stopping node exits this long before it would be terminated by force.
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/tcp_stream.hpp>
 #include <trefoil/traffic/call_tree.hpp>
 
@@ -193,6 +194,19 @@
     CHECK(site.reached(0) == 0);
 }
 
+TEST_CASE("a request that arrives 3 s after the stop signal is refused and not cut off later") {
+    two_machine_site site;
+    std::raise(SIGTERM);
+    bool is_over = false;
+    http1::loop_timer timer(&site.loop, [&] { is_over = true; });
+    timer.start(3s);
+    REQUIRE(site.run_until([&] { return is_over; }));
+    const auto got = site.ask("/read/1");
+    CHECK(got.status == 503);
+    CHECK_FALSE(find_header(got.headers, "retry-after").empty());
+    CHECK(site.reached(0) + site.reached(1) == 0);
+}
+
 // Guards against a request that is left behind when its connection closes. While the node is
 // stopping, a response closes its connection. A request that displaces an earlier request of its
 // own connection from the queue is therefore closed while it is still being queued.
