--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
 #include <unistd.h>
 #include <uv.h>
 
@@ -188,7 +189,13 @@
         start_node(i);
     }
 
-    static std::string ip(std::size_t i) { return "127.0.1." + std::to_string(i + 1); }
+    /// Loopback addresses depend on the process id, so that several tests can run at the same time.
+    static std::string ip(std::size_t i) {
+        constexpr int processes_per_block = 250;
+        const auto block = 64 + getpid() / processes_per_block % 100;
+        const auto process = 1 + getpid() % processes_per_block;
+        return fmt::format("127.{}.{}.{}", block, process, i + 1);
+    }
 
     proxy_settings settings(std::size_t i) const {
         proxy_settings made;
