--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -283,6 +283,25 @@
     CHECK(record.has_failed);
 }
 
+TEST_CASE("an answer that ends within its head fails, however its connection ends") {
+    const auto answer = ok_response("7", "abc");
+    const auto head_size = answer.find("\r\n\r\n") + 4;
+    for (const auto end : {raw_target::after::close, raw_target::after::reset}) {
+        for (std::size_t length = 1; length < head_size; ++length) {
+            test_loop event_loop;
+            raw_target target(&event_loop.loop, {answer.substr(0, length)});
+            target.after_answer = end;
+            client sender(&event_loop.loop, {});
+            exchange_record record;
+            start_request(sender, target.listen_address(), record, "7");
+            REQUIRE(event_loop.run_until([&] { return record.is_finished(); }));
+            CHECK(record.has_failed);
+            CHECK(record.status == 0);
+            CHECK(record.failure != exchange_failure::not_sent);
+        }
+    }
+}
+
 TEST_CASE("bytes without an end that are no answer fail and close the connection") {
     struct endless_case {
         std::string name;
--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -101,6 +101,17 @@
           "200; [abc]; bad; ");
 }
 
+TEST_CASE("an answer that ends within its head is never a complete answer") {
+    const std::string framings[] = {"", "Content-Length: 0\r\n", "Content-Length: 5\r\n",
+                                    "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"};
+    for (const auto& framing : framings) {
+        const auto head = "HTTP/1.1 200 OK\r\nid: 1\r\n" + framing + "stamp: s\r\n\r\n";
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            CHECK(read_answers(head.substr(0, length), true) == "bad; ");
+        }
+    }
+}
+
 TEST_CASE("bytes that are not a valid response are reported") {
     CHECK(read_answers("garbage") == "bad; ");
     CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage") ==
