--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -95,6 +95,10 @@
 }
 
 void inbound_call::submit() {
+    if (state_.is_stopping) {
+        answer(make_refusal(refusal::leaving));
+        return;
+    }
     is_submitted_ = true;
     is_body_sent_ = request_->is_body_complete();
     auto made = state_.dispatcher.submit(
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -174,6 +174,11 @@
 }
 
 void outbound_call::start_next_attempt() {
+    if (state_.is_past_request_cutoff()) {
+        last_refusal_ = refusal::leaving;
+        finish_unserved();
+        return;
+    }
     if (!may_retry()) {
         finish_unserved();
         return;
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -27,9 +27,6 @@
 /// Minimum time for which a stopping node serves callers, since they learn of the stop from its
 /// readiness endpoint.
 constexpr duration min_stop_time = 2500ms;
-/// A stopping node accepts requests of callers for this long. A request that was sent more than 3 s
-/// after the stop signal must not be cut off when the node exits.
-constexpr duration request_cutoff_time = 2900ms;
 /// A stopping node exits when no request is pending and no caller has sent one for this long.
 constexpr duration min_idle_time = 400ms;
 /// A stopping node exits this long before it would be terminated by force.
@@ -132,9 +129,7 @@
     }
 
     void serve_caller(std::shared_ptr<http1::served_request> request) {
-        const bool is_too_late =
-            state_.is_stopping && state_.now() - stop_began_ > request_cutoff_time;
-        if (is_too_late) {
+        if (state_.is_past_request_cutoff()) {
             request->respond(refusal_response(retry_delay(duration{0}, 0, state_.random)), {});
             state_.metrics.count_refusal(refusal::leaving);
             return;
@@ -273,7 +268,7 @@
             return;
         }
         state_.is_stopping = true;
-        stop_began_ = state_.now();
+        state_.stop_began = state_.now();
         callers_->close_connections_after_answers();
         peers_->close_connections_after_answers();
         state_.add_log_record(log_class::state_change, [&] {
@@ -289,9 +284,9 @@
             return;
         }
         const auto pending = callers_->pending() + peers_->pending();
-        const bool is_idle = pending == 0 && now - stop_began_ >= min_stop_time &&
+        const bool is_idle = pending == 0 && now - state_.stop_began >= min_stop_time &&
                              now - state_.last_request >= min_idle_time;
-        const bool is_late = now - stop_began_ >= state_.settings.stop_timeout - stop_margin;
+        const bool is_late = now - state_.stop_began >= state_.settings.stop_timeout - stop_margin;
         if (!is_idle && !is_late) {
             return;
         }
@@ -326,7 +321,6 @@
     std::uint64_t housekeeping_runs_ = 0;
     std::uint64_t limits_version_ = 0;
     time_point last_run_;
-    time_point stop_began_;
     bool is_reload_error_logged_ = false;
     bool is_restart_logged_ = false;
 };
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr log_rates rates{};
+/// A stopping node starts work for callers for this long.
+constexpr duration request_cutoff_time = 2900ms;
 /// Limits of the connection pool to each peer. The idle timeout at the receiving peer is longer.
 constexpr http1::connection_pool_limits peer_limits{32, std::chrono::milliseconds(30'000)};
 
@@ -29,6 +31,10 @@
     return http1::loop_time(loop);
 }
 
+bool proxy_state::is_past_request_cutoff() const {
+    return is_stopping && now() - stop_began > request_cutoff_time;
+}
+
 void proxy_state::handle_announcement(const target_announcement& announced) {
     if (announced.rate_limit != logged_announcement.rate_limit) {
         add_log_record(log_class::state_change, [&] {
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -41,6 +41,10 @@
         }
     }
 
+    /// True if a stopping node starts no more work for callers: a request that was sent more than
+    /// 3 s after the stop signal must not be cut off when the node exits.
+    bool is_past_request_cutoff() const;
+
     /// Applies and logs what the local target has announced.
     void handle_announcement(const target_announcement& announced);
 
@@ -71,6 +75,8 @@
     std::uint64_t next_notice_id = 0;
     /// True once a stop signal has been received.
     bool is_stopping = false;
+    /// When the stop signal was received.
+    time_point stop_began;
     /// Arrival time of the last request from this machine.
     time_point last_request;
 };
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -207,6 +207,35 @@
     CHECK(site.reached(0) + site.reached(1) == 0);
 }
 
+TEST_CASE(
+    "a request whose body arrives 3 s after the stop signal is refused and not cut off later") {
+    two_machine_site site;
+    std::raise(SIGTERM);
+    http1::loop_timer timer(&site.loop, [] {});
+    timer.start_repeating(10ms);
+    const auto began = http1::loop_time(&site.loop);
+    const auto run_to = [&](duration since_stop) {
+        site.run_until([&] { return http1::loop_time(&site.loop) - began >= since_stop; });
+    };
+    run_to(2700ms);
+    http1::request_head head;
+    head.method = "POST";
+    head.target = "/write/hang";
+    head.headers = {{"host", "h"}, {"id", "caller-1"}, {"time-left", "5000"}};
+    head.framing = http1::body_framing::length;
+    head.content_length = 2;
+    reply got;
+    got.running = site.client->start(
+        {site.ip(0), site.caller_port}, head, "a", false, {},
+        [&got](http1::exchange_event event) { two_machine_site::take(got, std::move(event)); });
+    run_to(2950ms);
+    got.running->send_body("b");
+    got.running->finish_body();
+    REQUIRE(site.run_until([&] { return got.is_finished; }));
+    CHECK(got.status == 503);
+    CHECK(site.reached(0) + site.reached(1) == 0);
+}
+
 // Guards against a request that is left behind when its connection closes. While the node is
 // stopping, a response closes its connection. A request that displaces an earlier request of its
 // own connection from the queue is therefore closed while it is still being queued.
