--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -30,6 +30,7 @@
     config_ignored = 2009,
     item_unreadable = 2010,
     registry_read_again = 2011,
+    registry_reader_changed = 2012,
     target_down = 3001,
     target_up = 3002,
     level_raised = 3003,
--- a/libs/documents/src/reader_election.cpp
+++ b/libs/documents/src/reader_election.cpp
@@ -1,18 +1,6 @@
 #include "reader_election.hpp"
 
-#include <algorithm>
-
-#include <trefoil/base/hash.hpp>
-
 namespace trefoil {
-namespace {
-
-struct candidate {
-    std::uint64_t score = 0;
-    std::size_t index = 0;
-};
-
-} // namespace
 
 reader_election::reader_election(instance_id self, domain_name domain)
     : self_(std::move(self)), domain_(std::move(domain)) {}
@@ -38,30 +26,22 @@
     }
 }
 
-std::uint64_t reader_election::score(const instance_id& node) const {
-    return mix_hash(stable_hash(domain_.str(), epoch_), stable_hash(node.str()));
-}
-
 void reader_election::rank_nodes() {
-    const auto own_score = score(self_);
-    std::vector<candidate> candidates;
-    candidates.reserve(nodes_.size());
+    const auto own_score = rendezvous_score(domain_, epoch_, self_.str());
+    std::vector<std::size_t> peers;
+    std::vector<std::uint64_t> scores;
     rank_ = 0;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         if (nodes_[i] == self_) {
             continue;
         }
-        candidates.push_back({score(nodes_[i]), i});
-        rank_ += candidates.back().score < own_score ? 1 : 0;
+        peers.push_back(i);
+        scores.push_back(rendezvous_score(domain_, epoch_, nodes_[i].str()));
+        rank_ += scores.back() < own_score ? 1 : 0;
     }
-    const auto count = std::min(candidates.size(), readers_per_domain + standbys_per_domain);
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                      candidates.end(), [](const candidate& one, const candidate& other) {
-                          return one.score < other.score;
-                      });
     leading_peers_.clear();
-    for (std::size_t i = 0; i < count; ++i) {
-        leading_peers_.push_back(nodes_[candidates[i].index]);
+    for (const auto index : lowest_scores(scores, readers_per_domain + standbys_per_domain)) {
+        leading_peers_.push_back(nodes_[peers[index]]);
     }
 }
 
--- a/libs/documents/src/reader_election.hpp
+++ b/libs/documents/src/reader_election.hpp
@@ -6,18 +6,17 @@
 
 #include <trefoil/base/ids.hpp>
 #include <trefoil/base/time.hpp>
+#include <trefoil/membership/rendezvous.hpp>
 
 namespace trefoil {
 
-/// Number of nodes of a failure domain that read from the platform at the same time.
-inline constexpr std::size_t readers_per_domain = 2;
 /// Number of nodes ranked after the readers that take over from them, one after the other.
 inline constexpr std::size_t standbys_per_domain = 4;
 /// Time after which readers are elected anew.
 inline constexpr duration epoch_length = 60s;
 
-/// Ranks the nodes of one failure domain by rendezvous hashing (Thaler and Ravishankar 1998) of
-/// domain, epoch and node; the nodes with the lowest ranks are the readers. The epoch is a logical
+/// Ranks the nodes of one failure domain by rendezvous hashing of domain, epoch and
+/// node; the nodes with the lowest ranks are the readers. The epoch is a logical
 /// clock, because the clocks of the nodes differ: a node increments it after epoch_length on its
 /// own clock and adopts any higher epoch that it receives.
 class reader_election {
@@ -43,7 +42,6 @@
 
 private:
     void rank_nodes();
-    std::uint64_t score(const instance_id& node) const;
 
     instance_id self_;
     domain_name domain_;
--- a/libs/http1/include/trefoil/http1/loop_timer.hpp
+++ b/libs/http1/include/trefoil/http1/loop_timer.hpp
@@ -13,6 +13,10 @@
 /// one millisecond, relative to an arbitrary point in the past.
 time_point loop_time(const uv_loop_s* loop);
 
+/// Returns the time since the machine was started, which also counts while it is suspended. Nodes
+/// use it where they rely on the age of information.
+time_point boot_time();
+
 /// One-shot or periodic timer. Destroying the timer stops it; the callback itself may do so.
 class loop_timer {
 public:
--- a/libs/http1/src/loop_timer.cpp
+++ b/libs/http1/src/loop_timer.cpp
@@ -1,6 +1,7 @@
 #include <trefoil/http1/loop_timer.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 #include <uv.h>
 
@@ -18,6 +19,13 @@
     return time_point(std::chrono::milliseconds(uv_now(loop)));
 }
 
+time_point boot_time() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) +
+                                                           std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 /// The libuv handle of a timer. It outlives the loop_timer, because libuv closes handles
 /// asynchronously.
 class loop_timer::handle {
--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,9 +40,25 @@
 using registry_change =
     std::variant<traffic_config, listed_instance, instance_removed, unreadable_item>;
 
+/// One item as the registry publishes it, not decoded, or its removal. Nodes pass records on to
+/// each other.
+struct registry_record {
+    /// Key of the item in the registry.
+    std::string key;
+    /// Published form of the item, which the registry's client can decode; empty for a removal.
+    std::string value;
+    /// Revision of this change; 0 if unknown.
+    std::uint64_t revision = 0;
+    /// Revision that created the item; 0 if unknown.
+    std::uint64_t created = 0;
+    bool is_removal = false;
+
+    friend bool operator==(const registry_record&, const registry_record&) = default;
+};
+
 /// Changes in the order in which they were made. The result of a full read contains all items.
 struct registry_changes {
-    std::vector<registry_change> changes;
+    std::vector<registry_record> records;
     /// Revision of the store after the changes.
     std::uint64_t revision = 0;
     /// True if the answer contained any event, including events of unrelated keys. An empty answer
@@ -51,6 +68,10 @@
     friend bool operator==(const registry_changes&, const registry_changes&) = default;
 };
 
+/// Whether a read returns the current state. A serializable read costs the registry less, and its
+/// answer may be seconds old.
+enum class read_consistency : std::uint8_t { linearizable, serializable };
+
 /// Why a read or a watch failed.
 enum class registry_error : std::uint8_t {
     /// No connection, no response within the time limit, a truncated response, or one that exceeds
@@ -76,9 +97,14 @@
 
     virtual ~registry_client() = default;
 
+    /// Decodes a record, also one that another node has passed on. Returns nothing for a key that
+    /// has no meaning to the proxy.
+    virtual std::optional<registry_change> decode(const registry_record& record) const = 0;
+
     /// Reads all items of the topic. Fails with `unreachable` if no byte of an answer arrives for
     /// `answer_timeout`. `done` is called once, asynchronously.
-    virtual void read(registry_topic topic, duration answer_timeout, done_handler done) = 0;
+    virtual void read(registry_topic topic, read_consistency consistency, duration answer_timeout,
+                      done_handler done) = 0;
 
     /// Waits up to `wait` for changes of any topic that were made after the revision. Fails with
     /// `unreachable` if no byte of an answer arrives for `wait` and `answer_timeout`, or later for
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -57,10 +57,22 @@
     duration max_answer_timeout{0};
     /// Delay between a watch that returned changes and the next watch.
     duration coalescing_delay{0};
+    /// Wait of the watch that follows this delay; `watch_wait` if it is not set.
+    std::optional<duration> watch_wait_after_changes;
 
     friend bool operator==(const registry_timing&, const registry_timing&) = default;
 };
 
+/// For whom a node reads the registry.
+enum class reading_role : std::uint8_t {
+    /// For itself, in place of polling a reader that does not answer or does not exist.
+    for_itself,
+    /// For nodes that poll it.
+    for_others,
+    /// For itself, once, since no reader has confirmed what it knows.
+    fallback,
+};
+
 /// Derives the durations from the bounds.
 ///
 /// A connection can go silent without an error just after a watch began. The watch must then fail
@@ -71,7 +83,13 @@
 /// are fetched in batches. A change just after an answer is seen only by the next watch, so the
 /// delay is a fraction of the shorter one of the other two bounds. A node that has just started
 /// (`is_settling`) uses a shorter delay.
-registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling);
+///
+/// The other two bounds hold for the nodes that poll a reader also while the reader fails. A reader
+/// therefore knows at short intervals whether its copy is current, so that they notice early enough
+/// that it has fallen silent (see read_sharing). As a fallback a node asks for the changes up to
+/// now and does not wait for later ones.
+registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling,
+                                    reading_role role = reading_role::for_itself);
 
 using registry_step = std::variant<read_registry, watch_registry, delay_next_request>;
 
@@ -94,6 +112,9 @@
     /// Reports that the last step succeeded. Its answer, empty or not, leads to the revision.
     void record_success(std::uint64_t revision, bool has_events);
 
+    /// Reports that another node has passed on all changes up to the revision.
+    void record_relayed(std::uint64_t revision);
+
     /// Reports that the last step failed.
     void record_failure(registry_error why);
 
@@ -108,9 +129,6 @@
 private:
     static constexpr duration initial_backoff = 100ms;
     static constexpr duration max_backoff = 600ms;
-    /// Wait of a watch that follows a failure. It is answered at once, which shows that the new
-    /// connection works.
-    static constexpr duration probe_wait = 1ms;
 
     duration backoff();
     duration answer_timeout() const;
@@ -118,6 +136,7 @@
     random_source random_;
     registry_timing timing_;
     bool must_delay_watch_ = false;
+    bool is_after_changes_ = false;
     std::optional<std::uint64_t> revision_;
     std::uint32_t failures_ = 0;
     bool has_backed_off_ = false;
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <uv.h>
 
+#include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
 
@@ -81,7 +82,7 @@
               [this](auto request) { serve_caller(std::move(request)); }}},
             {&peers_,
              {settings.peer_listener, peer_limits(),
-              [this](auto request) { inbound_call::serve(state_, std::move(request)); }}},
+              [this](auto request) { serve_peer(std::move(request)); }}},
             {&ready_,
              {settings.ready_listener, peer_limits(),
               [this](auto request) { answer_ready(*request); }}},
@@ -137,6 +138,14 @@
         outbound_call::serve(state_, std::move(request));
     }
 
+    void serve_peer(std::shared_ptr<http1::served_request> request) {
+        if (find_header(request->head().headers, poll_field).empty()) {
+            inbound_call::serve(state_, std::move(request));
+        } else {
+            registry_.serve_poll(request);
+        }
+    }
+
     bool is_ready() const {
         return !state_.is_stopping && state_.routes != nullptr && registry_.has_read();
     }
@@ -179,7 +188,7 @@
                            load.in_flight, load.queued, load.limit, rate_limit, target.requests,
                            target.connections_opened, peers.connections_opened,
                            state_.routes == nullptr ? 0 : state_.routes->config().version,
-                           to_seconds(registry_.answer_age()), state_.directory.size());
+                           to_seconds(registry_.staleness()), state_.directory.size());
     }
 
     void run_housekeeping() {
@@ -198,6 +207,7 @@
                                   {{"instance", id.str()}, {"cause", "stayed_missing"}}};
             });
         }
+        registry_.run_housekeeping();
         if (++housekeeping_runs_ % slow_housekeeping_period == 0) {
             peers_->close_timed_out_connections();
             ready_->close_timed_out_connections();
@@ -271,6 +281,7 @@
         state_.stop_began = state_.now();
         callers_->close_connections_after_answers();
         peers_->close_connections_after_answers();
+        registry_.stop_serving_polls();
         state_.add_log_record(log_class::state_change, [&] {
             return log_record{log_event::node_stopping,
                               {{"calls", std::to_string(callers_->pending())},
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t max_doublings = 3;
+/// Wait of a watch that is to be answered at once.
+constexpr duration probe_wait = 1ms;
 
 duration fraction_of(duration whole, double share) {
     return duration(static_cast<duration::rep>(static_cast<double>(whole.count()) * share));
@@ -28,7 +30,8 @@
     return "unknown";
 }
 
-registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling) {
+registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling,
+                                    reading_role role) {
     constexpr double wait_share = 0.45;
     constexpr double timeout_share = 0.13;
     constexpr double max_timeout_share = 0.4;
@@ -41,6 +44,17 @@
     timing.answer_timeout = fraction_of(recovery_bound, timeout_share);
     timing.max_answer_timeout = fraction_of(recovery_bound, max_timeout_share);
     timing.coalescing_delay = fraction_of(change_bound, coalescing_share);
+    if (role == reading_role::for_others) {
+        constexpr double reader_wait_share = 0.25;
+        constexpr double reader_share_after_changes = 0.075;
+        timing.watch_wait = fraction_of(change_bound, reader_wait_share);
+        timing.coalescing_delay = fraction_of(change_bound, reader_share_after_changes);
+        timing.watch_wait_after_changes = timing.coalescing_delay;
+    }
+    if (role == reading_role::fallback) {
+        timing.watch_wait = probe_wait;
+        timing.coalescing_delay = duration{0};
+    }
     if (is_settling) {
         timing.coalescing_delay = std::min(timing.coalescing_delay, startup_coalescing_delay);
     }
@@ -71,19 +85,26 @@
     if (std::exchange(must_delay_watch_, false)) {
         return delay_next_request{timing_.coalescing_delay};
     }
-    const auto wait = failures_ > 0 ? probe_wait : timing_.watch_wait;
+    const auto first_wait = timing_.watch_wait_after_changes.value_or(timing_.watch_wait);
+    const auto usual_wait = is_after_changes_ ? first_wait : timing_.watch_wait;
+    const auto wait = failures_ > 0 ? probe_wait : usual_wait;
     return watch_registry{*revision_, wait, answer_timeout()};
 }
 
 void registry_follower::record_success(std::uint64_t revision, bool has_events) {
     failures_ = 0;
     has_backed_off_ = false;
-    must_delay_watch_ = revision_ && has_events && timing_.coalescing_delay > duration{0};
+    is_after_changes_ = revision_ && has_events;
+    must_delay_watch_ = is_after_changes_ && timing_.coalescing_delay > duration{0};
     if (!revision_ || has_events) {
         revision_ = std::max(revision_.value_or(0), revision);
     }
 }
 
+void registry_follower::record_relayed(std::uint64_t revision) {
+    revision_ = std::max(revision_.value_or(0), revision);
+}
+
 void registry_follower::record_failure(registry_error why) {
     has_backed_off_ = false;
     must_delay_watch_ = false;
--- /dev/null
+++ b/libs/proxy/src/registry_poll_server.cpp
@@ -0,0 +1,71 @@
+#include "registry_poll_server.hpp"
+
+#include <algorithm>
+
+#include <trefoil/http1/header_rules.hpp>
+
+#include "local_response.hpp"
+
+namespace trefoil {
+
+void registry_poll_server::serve(time_point now,
+                                 const std::shared_ptr<http1::served_request>& request,
+                                 const replica_state& state) {
+    const auto poll = decode_poll(find_header(request->head().headers, poll_field));
+    if (!poll || is_closed_) {
+        request->respond(local_response(poll ? 503 : 400), {});
+        return;
+    }
+    const bool has_changes =
+        state.replica != nullptr && state.replica->revision() > poll->after_revision;
+    const bool must_tell_now =
+        poll->is_urgent && (state.replica != nullptr || state.is_registry_lost);
+    if (has_changes || must_tell_now) {
+        answer(now, {*poll, now, request}, state);
+        return;
+    }
+    const auto added = waiting_.insert(waiting_.end(), {*poll, now, request});
+    request->set_handlers({{}, [this, added] { waiting_.erase(added); }, {}});
+}
+
+void registry_poll_server::answer_all(time_point now, const replica_state& state) {
+    if (state.replica == nullptr && !state.is_registry_lost) {
+        return;
+    }
+    for (const auto& poll : std::exchange(waiting_, {})) {
+        poll.request->set_handlers({});
+        answer(now, poll, state);
+    }
+}
+
+void registry_poll_server::answer(time_point now, const waiting_poll& poll,
+                                  const replica_state& state) {
+    registry_poll_answer made;
+    made.age = state.age;
+    made.held = now - poll.arrived;
+    made.is_registry_lost = state.is_registry_lost;
+    if (state.replica != nullptr) {
+        const auto revision = state.replica->revision();
+        const bool is_cached =
+            cached_after_ == poll.poll.after_revision && cached_difference_.revision == revision;
+        if (!is_cached) {
+            cached_difference_ = state.replica->changes_since(poll.poll.after_revision);
+            cached_records_ = encode_records(std::exchange(cached_difference_.records, {}));
+            cached_after_ = poll.poll.after_revision;
+        }
+        made.difference = cached_difference_;
+    }
+    auto head = local_response(200);
+    head.headers.push_back({std::string(poll_field), encode_poll_answer(made)});
+    poll.request->respond(std::move(head), state.replica == nullptr ? "" : cached_records_);
+}
+
+void registry_poll_server::close() {
+    is_closed_ = true;
+    for (const auto& poll : std::exchange(waiting_, {})) {
+        poll.request->set_handlers({});
+        poll.request->respond(local_response(503), {});
+    }
+}
+
+} // namespace trefoil
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -7,29 +7,25 @@
 namespace trefoil {
 namespace {
 
-log_event event_for(directory_change change) {
-    switch (change) {
-    case directory_change::draining:
-        return log_event::instance_leaving;
-    case directory_change::removed:
-        return log_event::instance_dropped;
-    case directory_change::held:
-        return log_event::instance_held;
-    case directory_change::outdated:
-        return log_event::document_stale_ignored;
-    default:
-        return log_event::instance_listed;
-    }
-}
-
 /// Time after the start of the node in which it uses the shorter delay between watches, since the
 /// instances may have been started together with it.
 constexpr duration startup_period = 6s;
 
+/// Time between two reads of the list of nodes while it is being filled.
+constexpr duration list_interval = 400ms;
+
 registry_bounds bounds_of(const proxy_settings& settings) {
     return {settings.stable_window, settings.drain_time, settings.config_apply_time};
 }
 
+/// Returns a time at which the registry had no changes for a watch that was answered now: it has
+/// waited first, unless it has cut the wait short. Its clock may be a little faster.
+time_point time_of_empty_answer(time_point started, duration wait) {
+    constexpr duration::rep tolerance = 10;
+    const auto waited_until = started + wait - wait / tolerance;
+    return http1::boot_time() >= waited_until ? waited_until : started;
+}
+
 std::string ms_text(duration value) {
     return std::to_string(whole_ms(value).count());
 }
@@ -37,52 +33,141 @@
 } // namespace
 
 registry_sync::registry_sync(proxy_state& state, registry_client& client, std::uint64_t seed)
-    : state_(state), client_(client), started_(state.now()),
+    : state_(state), client_(client), started_(http1::boot_time()), view_(state, client),
       follower_(seed, registry_timing_for(bounds_of(state.settings), true)),
-      timer_(state.loop, [this] { step(); }) {}
+      sharing_({state.settings.target.ip, state.settings.domain}, seed, started_),
+      poller_(state.loop), last_merge_(started_),
+      timer_(state.loop, [this] { continue_after_pause(); }) {}
+
+duration registry_sync::staleness() const {
+    return sharing_.staleness(http1::boot_time());
+}
+
+void registry_sync::list_nodes() {
+    update_bounds();
+    const auto timing = registry_timing_for(bounds_of(state_.settings), true);
+    is_requesting_ = true;
+    client_.read(registry_topic::instances, read_consistency::serializable, timing.answer_timeout,
+                 [this](registry_result listed) {
+                     is_requesting_ = false;
+                     if (must_list_again(listed)) {
+                         pause(list_interval);
+                         return;
+                     }
+                     is_listing_ = false;
+                     sharing_.start(http1::boot_time());
+                     step();
+                     poll();
+                 });
+}
+
+bool registry_sync::must_list_again(const registry_result& listed) {
+    const auto* found = std::get_if<registry_changes>(&listed);
+    if (found == nullptr) {
+        return false;
+    }
+    std::vector<sharing_node> nodes;
+    for (const auto& record : found->records) {
+        const auto change = client_.decode(record);
+        const auto* instance = change ? std::get_if<listed_instance>(&*change) : nullptr;
+        if (instance != nullptr && instance->state == listed_state::ready) {
+            nodes.push_back({instance->target.ip, instance->domain});
+        }
+    }
+    sharing_.set_nodes(nodes);
+    const auto before = std::exchange(listed_nodes_, nodes.size());
+    const bool is_being_filled = nodes.empty() || (before && *before != nodes.size());
+    return is_being_filled && http1::boot_time() - started_ < sharing_.timing().read_after;
+}
+
+void registry_sync::continue_after_pause() {
+    is_pausing_ = false;
+    if (is_listing_) {
+        list_nodes();
+    } else {
+        step();
+    }
+}
+
+void registry_sync::update_nodes() {
+    std::vector<sharing_node> nodes;
+    state_.directory.visit([&](const listed_instance& listed) {
+        if (listed.state == listed_state::ready) {
+            nodes.push_back({listed.target.ip, listed.domain});
+        }
+    });
+    sharing_.set_nodes(nodes);
+}
+
+void registry_sync::update_bounds() {
+    const auto bounds = bounds_of(state_.settings);
+    const bool is_settling = http1::boot_time() - started_ < startup_period;
+    follower_.set_timing(registry_timing_for(bounds, is_settling, role()));
+    sharing_.set_bounds(bounds);
+}
+
+reading_role registry_sync::role() const {
+    if (!sharing_.is_sharing()) {
+        return reading_role::for_itself;
+    }
+    return sharing_.is_reader(http1::boot_time()) ? reading_role::for_others
+                                                  : reading_role::fallback;
+}
 
 void registry_sync::step() {
-    const bool is_settling = state_.now() - started_ < startup_period;
-    follower_.set_timing(registry_timing_for(bounds_of(state_.settings), is_settling));
+    if (is_listing_ || is_requesting_ || is_pausing_) {
+        return;
+    }
+    update_bounds();
+    const auto wait = sharing_.time_to_read(http1::boot_time());
+    if (wait > duration{0}) {
+        timer_.start(wait);
+        return;
+    }
     std::visit(overloaded{[&](const read_registry& next) { read_config(next.answer_timeout); },
                           [&](const watch_registry& next) { watch(next); },
-                          [&](const delay_next_request& rest) { timer_.start(rest.delay); }},
+                          [&](const delay_next_request& rest) { pause(rest.delay); }},
                follower_.next_step());
 }
 
-void registry_sync::note_request(std::string_view kind) {
-    request_ = {kind, state_.now()};
+void registry_sync::pause(duration delay) {
+    is_pausing_ = true;
+    timer_.start(delay);
 }
 
-duration registry_sync::answer_age() const {
-    return last_answer_ ? state_.now() - *last_answer_ : duration{0};
+void registry_sync::note_request(std::string_view call) {
+    is_requesting_ = true;
+    request_ = {call, http1::boot_time()};
 }
 
 void registry_sync::read_config(duration answer_timeout) {
     note_request("read");
-    client_.read(registry_topic::config, answer_timeout,
+    client_.read(registry_topic::config, read_consistency::linearizable, answer_timeout,
                  [this, answer_timeout](registry_result result) {
                      auto read = accept_result(std::move(result));
                      if (!read) {
                          step();
                          return;
                      }
-                     apply(std::move(read->changes));
-                     read_instances(answer_timeout, read->revision);
+                     read_instances(answer_timeout, std::move(*read));
                  });
 }
 
-void registry_sync::read_instances(duration answer_timeout, std::uint64_t revision) {
-    note_request("read");
-    client_.read(registry_topic::instances, answer_timeout,
-                 [this, revision](registry_result result) {
+void registry_sync::read_instances(duration answer_timeout, registry_changes config) {
+    is_requesting_ = true;
+    client_.read(registry_topic::instances, read_consistency::linearizable, answer_timeout,
+                 [this, config = std::move(config)](registry_result result) {
                      auto read = accept_result(std::move(result));
                      if (read) {
-                         apply_list(std::move(read->changes));
-                         has_read_ = true;
                          // The configuration is watched from the revision of its own read, which
                          // came first.
-                         follower_.record_success(std::min(revision, read->revision), true);
+                         const auto revision = std::min(config.revision, read->revision);
+                         follower_.record_success(revision, true);
+                         auto records = std::move(read->records);
+                         records.insert(records.end(), config.records.begin(),
+                                        config.records.end());
+                         merge({true, std::move(records), revision}, "read", request_.started,
+                               request_.started);
                      }
                      step();
                  });
@@ -90,132 +175,46 @@
 
 void registry_sync::watch(const watch_registry& next) {
     note_request("watch");
+    const auto wait = next.wait;
     client_.watch(next.after_revision, next.wait, next.answer_timeout,
-                  [this](registry_result result) {
+                  [this, wait](registry_result result) {
                       auto seen = accept_result(std::move(result));
                       if (seen) {
-                          apply(std::move(seen->changes));
                           follower_.record_success(seen->revision, seen->has_events);
+                          const auto confirmed_at =
+                              seen->has_events ? request_.started
+                                               : time_of_empty_answer(request_.started, wait);
+                          const auto revision = seen->has_events ? seen->revision : 0;
+                          merge({false, std::move(seen->records), revision}, "watch",
+                                request_.started, confirmed_at);
                       }
                       step();
                   });
 }
 
 std::optional<registry_changes> registry_sync::accept_result(registry_result result) {
+    is_requesting_ = false;
     if (const auto* why = std::get_if<registry_error>(&result)) {
         follower_.record_failure(*why);
         handle_failure(*why);
         return std::nullopt;
     }
-    handle_success();
     return std::move(std::get<registry_changes>(result));
 }
 
-void registry_sync::apply(std::vector<registry_change> changes) {
-    for (auto& change : changes) {
-        apply_change(std::move(change));
-    }
-    state_.retry_limiter.set_nodes(state_.directory.size());
-    update_local_target();
-}
-
-void registry_sync::apply_list(std::vector<registry_change> changes) {
-    std::vector<listed_instance> list;
-    std::vector<registry_change> others;
-    for (auto& change : changes) {
-        if (auto* listed = std::get_if<listed_instance>(&change)) {
-            list.push_back(std::move(*listed));
-        } else {
-            others.push_back(std::move(change));
-        }
-    }
-    for (const auto& [id, change] : state_.directory.replace(state_.now(), std::move(list))) {
-        log_directory_change(id, change);
-    }
-    apply(std::move(others));
-}
-
-void registry_sync::apply_change(registry_change change) {
-    std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
-                          [&](listed_instance& listed) {
-                              const auto id = listed.id;
-                              log_directory_change(id, state_.directory.put(listed));
-                          },
-                          [&](const instance_removed& removed) {
-                              log_directory_change(
-                                  removed.id, state_.directory.remove(state_.now(), removed.id));
-                          },
-                          [&](const unreadable_item& item) {
-                              state_.add_log_record(log_class::state_change, [&] {
-                                  return log_record{log_event::item_unreadable,
-                                                    {{"key", item.key}, {"problem", item.problem}}};
-                              });
-                              if (!item.id.empty()) {
-                                  state_.directory.remove(state_.now(), item.id);
-                              }
-                          }},
-               change);
-}
-
-void registry_sync::apply_config(traffic_config config) {
-    const auto version = config.version;
-    const auto present = state_.routes == nullptr ? 0 : state_.routes->config().version;
-    const bool is_newer = state_.routes == nullptr || version > present;
-    if (is_newer) {
-        state_.routes = std::make_shared<const route_table>(std::move(config));
-    }
-    state_.add_log_record(log_class::state_change, [&] {
-        return log_record{is_newer ? log_event::config_in_force : log_event::config_ignored,
-                          {{"version", std::to_string(version)},
-                           {"before", std::to_string(present)},
-                           {"routes", std::to_string(state_.routes->config().routes.size())},
-                           {"call", std::string(request_.kind)},
-                           {"call_ms", ms_text(state_.now() - request_.started)},
-                           {"silent_ms", ms_text(silence_)}}};
-    });
-}
-
-void registry_sync::log_directory_change(const instance_id& id, directory_change change) {
-    if (change == directory_change::none) {
-        return;
-    }
-    const auto* listed = state_.directory.find(id);
-    state_.add_log_record(log_class::state_change, [&] {
-        log_record record{event_for(change), {{"instance", id.str()}}};
-        if (listed != nullptr) {
-            record.fields.emplace_back("service", listed->service.str());
-            record.fields.emplace_back("domain", listed->domain.str());
-            record.fields.emplace_back("target", to_string(listed->target));
-            record.fields.emplace_back("slots", std::to_string(listed->slots));
-        }
-        return record;
-    });
-}
-
-void registry_sync::update_local_target() {
-    const auto* local_entry = state_.directory.at_address(state_.settings.target);
-    if (local_entry == nullptr) {
-        return;
-    }
-    const auto connections =
-        state_.routes == nullptr ? 0 : state_.routes->max_connections(local_entry->service);
-    state_.dispatcher.set_slots(connections == 0 ? local_entry->slots
-                                                 : std::min(local_entry->slots, connections));
-    const std::pair process(local_entry->id, local_entry->started_at_ms);
-    if (process == local_process_) {
-        return;
-    }
-    const bool is_restart = local_process_.has_value();
-    local_process_ = process;
-    if (is_restart) {
-        state_.dispatcher.target_restarted();
+void registry_sync::merge(registry_difference difference, std::string_view call, time_point started,
+                          time_point confirmed_at) {
+    const auto now = http1::boot_time();
+    const bool has_changes = difference.is_complete || !difference.records.empty();
+    handle_success();
+    view_.merge(std::move(difference), {call, now - started, now - last_merge_});
+    last_merge_ = now;
+    has_read_ = true;
+    if (has_changes) {
+        update_nodes();
     }
-    state_.add_log_record(log_class::state_change, [&] {
-        return log_record{log_event::own_target_changed,
-                          {{"instance", local_entry->id.str()},
-                           {"slots", std::to_string(local_entry->slots)},
-                           {"restart", is_restart ? "1" : "0"}}};
-    });
+    sharing_.record_confirmation(confirmed_at);
+    poll_server_.answer_all(now, state_for_polls());
 }
 
 void registry_sync::handle_failure(registry_error why) {
@@ -225,9 +224,15 @@
         });
         return;
     }
-    if (follower_.is_registry_lost()) {
+    const auto now = http1::boot_time();
+    sharing_.record_failed_read(now);
+    const bool is_lost =
+        follower_.is_registry_lost() && (!sharing_.is_sharing() || sharing_.is_registry_lost(now));
+    if (is_lost) {
         state_.directory.source_lost();
     }
+    poll_server_.answer_all(now, state_for_polls());
+    poll();
     if (is_outage_logged_) {
         return;
     }
@@ -235,25 +240,99 @@
     state_.add_log_record(log_class::state_change, [&] {
         return log_record{log_event::platform_unreachable,
                           {{"cause", std::string(name_of(why))},
-                           {"call", std::string(request_.kind)},
-                           {"call_ms", ms_text(state_.now() - request_.started)},
-                           {"silent_ms", ms_text(answer_age())}}};
+                           {"call", std::string(request_.call)},
+                           {"call_ms", ms_text(now - request_.started)},
+                           {"silent_ms", ms_text(staleness())}}};
     });
 }
 
 void registry_sync::handle_success() {
     state_.directory.source_regained(state_.now());
-    silence_ = answer_age();
-    last_answer_ = state_.now();
     if (!is_outage_logged_) {
         return;
     }
     is_outage_logged_ = false;
+    state_.add_log_record(log_class::state_change, [&] {
+        return log_record{log_event::platform_reachable,
+                          {{"silent_ms", ms_text(staleness())},
+                           {"failures", std::to_string(follower_.failures())}}};
+    });
+}
+
+void registry_sync::poll() {
+    const auto now = http1::boot_time();
+    if (poller_.is_active()) {
+        return;
+    }
+    const auto reader = sharing_.reader_to_poll(now);
+    if (!reader) {
+        return;
+    }
+    log_reader(*reader);
+    const bool is_urgent = sharing_.staleness(now) >= sharing_.timing().switch_reader_after;
+    poller_.start({*reader, state_.settings.peer_listener.port},
+                  {view_.replica().revision(), is_urgent}, sharing_.poll_timeout(now),
+                  [this, reader = *reader, now](std::optional<registry_poll_answer> answer) {
+                      handle_poll_answer(reader, now, std::move(answer));
+                  });
+}
+
+void registry_sync::handle_poll_answer(const std::string& reader, time_point sent,
+                                       std::optional<registry_poll_answer> answer) {
+    const auto now = http1::boot_time();
+    const bool is_usable = answer && !answer->is_registry_lost &&
+                           answer->difference.revision >= view_.replica().revision();
+    if (is_usable) {
+        follower_.record_relayed(answer->difference.revision);
+        // The answer was made this long after the poll was sent at the earliest.
+        const auto made_at = std::min(now, sent + answer->held);
+        merge(std::move(answer->difference), "poll", sent, made_at - answer->age);
+    } else if (answer && answer->is_registry_lost) {
+        sharing_.record_registry_lost(now, reader);
+    }
+    const bool is_stale = sharing_.staleness(now) >= sharing_.timing().switch_reader_after;
+    if (!is_usable || is_stale) {
+        sharing_.record_failed_poll(now, reader);
+    }
+    step();
+    poll();
+}
+
+void registry_sync::log_reader(const std::string& reader) {
+    if (reader == logged_reader_) {
+        return;
+    }
     state_.add_log_record(log_class::state_change, [&] {
         return log_record{
-            log_event::platform_reachable,
-            {{"silent_ms", ms_text(silence_)}, {"failures", std::to_string(follower_.failures())}}};
+            log_event::registry_reader_changed,
+            {{"reader", reader}, {"before", logged_reader_}, {"stale_ms", ms_text(staleness())}}};
     });
+    logged_reader_ = reader;
+}
+
+void registry_sync::serve_poll(const std::shared_ptr<http1::served_request>& request) {
+    const auto now = http1::boot_time();
+    const bool was_reader = sharing_.is_reader(now);
+    sharing_.record_poll(now);
+    poll_server_.serve(now, request, state_for_polls());
+    if (!was_reader) {
+        step();
+    }
+}
+
+replica_state registry_sync::state_for_polls() const {
+    const auto now = http1::boot_time();
+    return {has_read_ ? &view_.replica() : nullptr, sharing_.staleness(now),
+            follower_.is_registry_lost() && sharing_.is_registry_lost(now)};
+}
+
+void registry_sync::run_housekeeping() {
+    poller_.close_expired_connections();
+    const auto now = http1::boot_time();
+    if (sharing_.is_sharing() && has_read_ && sharing_.is_registry_lost(now)) {
+        state_.directory.source_lost();
+    }
+    poll();
 }
 
 } // namespace trefoil
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -1,76 +1,113 @@
-// Applies the configuration and the instances of the registry to the state of a proxy.
+// Keeps a proxy's view of the registry current, from the registry itself or from other nodes.
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include <trefoil/http1/loop_timer.hpp>
+#include <trefoil/http1/server.hpp>
+#include <trefoil/proxy/read_sharing.hpp>
 #include <trefoil/proxy/registry.hpp>
 #include <trefoil/proxy/registry_follower.hpp>
 
 #include "proxy_state.hpp"
+#include "registry_poll_server.hpp"
+#include "registry_poller.hpp"
+#include "registry_view.hpp"
 
 namespace trefoil {
 
-/// Executes the steps of the registry follower; applies the changes to the proxy state and logs
-/// each of them.
+/// Carries out what the registry follower and the reading policy decide: reads and watches of the
+/// registry, polls of other nodes, and answers to theirs.
 class registry_sync {
 public:
     registry_sync(proxy_state& state, registry_client& client, std::uint64_t seed);
     registry_sync(const registry_sync&) = delete;
     registry_sync& operator=(const registry_sync&) = delete;
 
-    /// Starts the first read.
-    void start() { step(); }
+    /// Looks up the nodes that may be polled, then reads or polls.
+    void start() { list_nodes(); }
+
+    /// Handles the poll of another node.
+    void serve_poll(const std::shared_ptr<http1::served_request>& request);
+
+    /// Housekeeping, to be called a few times a second.
+    void run_housekeeping();
+
+    /// Refuses polls from now on, so that the nodes that poll this one turn to others at once.
+    void stop_serving_polls() { poll_server_.close(); }
 
     /// True once the configuration and the instances have been read completely.
     bool has_read() const { return has_read_; }
 
-    /// Time since the registry last answered a request; zero before its first answer.
-    duration answer_age() const;
+    /// Time since the view was last known to be current.
+    duration staleness() const;
 
 private:
     /// The request to the registry that is in progress.
     struct pending_request {
         /// `read` or `watch`, for the log.
-        std::string_view kind = "read";
+        std::string_view call = "read";
         time_point started;
     };
 
+    /// Looks up the nodes that may be polled. The list is empty for a moment if the whole fleet
+    /// starts; then it is read again until it no longer grows, or until this node has to read for
+    /// itself.
+    void list_nodes();
+    /// Returns true if the list has to be read again.
+    bool must_list_again(const registry_result& listed);
+    void continue_after_pause();
     void step();
+    void pause(duration delay);
     void read_config(duration answer_timeout);
-    void read_instances(duration answer_timeout, std::uint64_t revision);
+    void read_instances(duration answer_timeout, registry_changes config);
     void watch(const watch_registry& next);
-    void note_request(std::string_view kind);
-    /// Returns the changes of a result. An error is reported to the follower and yields nothing.
+    void note_request(std::string_view call);
+    /// Returns the records of a result. An error is reported to the follower and yields nothing.
     std::optional<registry_changes> accept_result(registry_result result);
-    void apply(std::vector<registry_change> changes);
-    /// Applies a full list of instances. Instances that are not in the list are treated as removed.
-    void apply_list(std::vector<registry_change> changes);
-    void apply_change(registry_change change);
-    void apply_config(traffic_config config);
-    void log_directory_change(const instance_id& id, directory_change change);
-    void update_local_target();
+    /// Merges a difference that was current at the given time.
+    void merge(registry_difference difference, std::string_view call, time_point started,
+               time_point confirmed_at);
     void handle_failure(registry_error why);
     void handle_success();
 
+    void poll();
+    void handle_poll_answer(const std::string& reader, time_point sent,
+                            std::optional<registry_poll_answer> answer);
+    void log_reader(const std::string& reader);
+
+    void update_bounds();
+    void update_nodes();
+    replica_state state_for_polls() const;
+    reading_role role() const;
+
     proxy_state& state_;
     registry_client& client_;
     time_point started_;
+    registry_view view_;
     registry_follower follower_;
+    read_sharing sharing_;
+    registry_poll_server poll_server_;
+    registry_poller poller_;
     bool has_read_ = false;
+    /// True until the nodes that may be polled have been looked up.
+    bool is_listing_ = true;
+    /// Number of nodes in the last list; empty before the first.
+    std::optional<std::size_t> listed_nodes_;
+    bool is_requesting_ = false;
+    /// True during a pause that the follower has asked for.
+    bool is_pausing_ = false;
     bool is_outage_logged_ = false;
     pending_request request_;
-    /// Empty until the registry has answered for the first time.
-    std::optional<time_point> last_answer_;
-    /// Time between the last two answers of the registry.
-    duration silence_{0};
-    /// The process of the local target as last listed; empty before the first.
-    std::optional<std::pair<instance_id, std::int64_t>> local_process_;
+    /// The node that was polled last, for the log.
+    std::string logged_reader_;
+    /// Time of the last merge, for the log.
+    time_point last_merge_;
     /// Fires at the end of a pause between two steps.
     http1::loop_timer timer_;
 };
--- /dev/null
+++ b/libs/proxy/tests/registry_replica_test.cpp
@@ -0,0 +1,131 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <trefoil/proxy/registry_replica.hpp>
+
+#include "registry_poll.hpp"
+
+using namespace trefoil;
+
+namespace {
+
+registry_record put(const std::string& key, std::uint64_t revision,
+                    const std::string& value = "v") {
+    return {key, value, revision, 1, false};
+}
+
+registry_record removal(const std::string& key, std::uint64_t revision) {
+    return {key, {}, revision, 0, true};
+}
+
+registry_replica replica_at_10() {
+    registry_replica replica;
+    replica.merge_all({put("a", 4), put("b", 10)}, 10);
+    return replica;
+}
+
+} // namespace
+
+TEST_CASE("a node that lacks nothing gets nothing, one that lacks old changes gets everything") {
+    auto replica = replica_at_10();
+    CHECK(replica.changes_since(10) == registry_difference{false, {}, 10});
+    CHECK(replica.changes_since(12) == registry_difference{false, {}, 10});
+    CHECK(replica.changes_since(9) == registry_difference{true, {put("a", 4), put("b", 10)}, 10});
+    replica.merge_changes({put("a", 11), removal("b", 12)}, 12);
+    CHECK(replica.changes_since(10) ==
+          registry_difference{false, {put("a", 11), removal("b", 12)}, 12});
+    CHECK(replica.changes_since(11) == registry_difference{false, {removal("b", 12)}, 12});
+    CHECK(replica.changes_since(0) == registry_difference{true, {put("a", 11)}, 12});
+}
+
+TEST_CASE("a late answer of another source does not bring back what was removed or replaced") {
+    auto replica = replica_at_10();
+    replica.merge_changes({removal("b", 12), put("a", 13, "new")}, 13);
+    CHECK(replica.merge_changes({put("b", 11), put("a", 12, "old")}, 12).empty());
+    CHECK(replica.merge_all({put("a", 4), put("b", 10)}, 10).empty());
+    CHECK(replica.merge_changes({put("c", 9)}, 9).empty());
+    CHECK(replica.revision() == 13);
+    CHECK(replica.changes_since(0).records == std::vector<registry_record>{put("a", 13, "new")});
+}
+
+TEST_CASE("a complete listing removes what it lacks, but not what was added after it") {
+    auto replica = replica_at_10();
+    replica.merge_changes({put("c", 15)}, 15);
+    const auto changes = replica.merge_all({put("b", 10), put("d", 13)}, 14);
+    CHECK(changes == std::vector<registry_record>{put("d", 13), removal("a", 14)});
+    CHECK(replica.changes_since(14).records == std::vector<registry_record>{put("c", 15)});
+    CHECK(replica.changes_since(12).is_complete);
+}
+
+TEST_CASE("a key that is removed and published again in one answer stays published") {
+    auto replica = replica_at_10();
+    const std::vector<registry_record> changes = {removal("a", 11), put("a", 12)};
+    CHECK(replica.merge_changes(changes, 12) == changes);
+    CHECK(replica.merge_changes(changes, 12).empty());
+    CHECK(replica.changes_since(0).records.size() == 2);
+}
+
+TEST_CASE("the changes that are kept are bounded") {
+    auto replica = replica_at_10();
+    for (std::uint64_t revision = 11; revision < 11 + 2 * registry_replica::max_changes;
+         ++revision) {
+        replica.merge_changes({put("a", revision)}, revision);
+    }
+    const auto last = replica.revision();
+    CHECK(replica.changes_since(11).is_complete);
+    const auto recent = replica.changes_since(last - registry_replica::max_changes);
+    CHECK_FALSE(recent.is_complete);
+    CHECK(recent.records.size() == registry_replica::max_changes);
+}
+
+TEST_CASE("any order of differences from two sources leads to the same copy") {
+    const std::vector<registry_difference> words = {
+        {true, {put("a", 4), put("b", 10)}, 10},
+        {false, {put("a", 11), removal("b", 12)}, 12},
+        {true, {put("a", 11), put("c", 14)}, 14},
+        {false, {put("b", 15), removal("c", 16)}, 16},
+    };
+    std::vector<std::size_t> order = {0, 1, 2, 3};
+    do {
+        registry_replica replica;
+        for (const auto index : order) {
+            replica.merge(words[index]);
+        }
+        replica.merge(words.back());
+        CHECK(replica.revision() == 16);
+        CHECK(replica.changes_since(0).records ==
+              std::vector<registry_record>{put("a", 11), put("b", 15)});
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("polls and answers survive encoding, and malformed ones are refused") {
+    const registry_poll poll{41, true};
+    CHECK(decode_poll(encode_poll(poll)) == poll);
+    registry_poll_answer answer;
+    answer.difference = {true, {}, 77};
+    answer.age = 12ms;
+    answer.held = 340ms;
+    answer.is_registry_lost = true;
+    const auto decoded = decode_poll_answer(encode_poll_answer(answer));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->difference == answer.difference);
+    CHECK(decoded->age >= answer.age);
+    CHECK(decoded->held <= answer.held);
+    CHECK(decoded->is_registry_lost);
+    const std::vector<registry_record> records = {put("a", 1, "\"\\ x"), removal("b", 2)};
+    CHECK(decode_records(encode_records(records)) == records);
+    CHECK(decode_records("")->empty());
+    for (const auto* text : {"", "x", "1", "1 2 3", "-1 0", "99999999999999999999 0"}) {
+        CHECK_FALSE(decode_poll(text).has_value());
+        CHECK_FALSE(decode_poll_answer(text).has_value());
+    }
+    CHECK_FALSE(decode_poll_answer("1 0 99999999999 0 0").has_value());
+    for (const auto* text : {"{", "1", "[[]]", "[[1,2,3,4,5]]", R"([["a","v",-1,0,false]])"}) {
+        CHECK_FALSE(decode_records(text).has_value());
+    }
+}
+
+TEST_CASE("records that are nested deeply are refused without filling the memory") {
+    CHECK_FALSE(decode_records(std::string(1U << 20U, '[')).has_value());
+}
--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -42,11 +42,16 @@
 }
 
 /// In-memory registry client of one node. Reads are answered when serve() is called, watches when
-/// change() is called.
+/// change() is called. A record's value is the number of its change.
 class memory_registry : public registry_client {
 public:
-    void read(registry_topic topic, duration, done_handler done) override {
-        pending_ = [this, topic, done] { done(registry_changes{items[topic], 1, true}); };
+    std::optional<registry_change> decode(const registry_record& record) const override {
+        return decoded_.at(std::stoul(record.value));
+    }
+    void read(registry_topic topic, read_consistency, duration, done_handler done) override {
+        pending_ = [this, topic, done] {
+            done(registry_changes{encode(items[topic], 1), 1, true});
+        };
     }
     void watch(std::uint64_t, duration, duration, done_handler done) override {
         watch_ = std::move(done);
@@ -63,14 +68,40 @@
 
     void change(std::vector<registry_change> changes) {
         auto done = std::exchange(watch_, nullptr);
-        done(registry_changes{std::move(changes), ++revision_, true});
+        ++revision_;
+        done(registry_changes{encode(changes, revision_), revision_, true});
     }
 
     std::map<registry_topic, std::vector<registry_change>> items;
 
 private:
+    static std::string key_of(const registry_change& change) {
+        return std::visit(
+            overloaded{[](const traffic_config&) { return std::string("config"); },
+                       [](const listed_instance& listed) { return listed.id.str(); },
+                       [](const instance_removed& removed) { return removed.id.str(); },
+                       [](const unreadable_item& item) { return item.key; }},
+            change);
+    }
+
+    std::vector<registry_record> encode(const std::vector<registry_change>& changes,
+                                        std::uint64_t revision) {
+        std::vector<registry_record> records;
+        for (const auto& change : changes) {
+            registry_record record;
+            record.key = key_of(change);
+            record.value = std::to_string(decoded_.size());
+            record.revision = revision;
+            record.is_removal = std::holds_alternative<instance_removed>(change);
+            decoded_.push_back(change);
+            records.push_back(std::move(record));
+        }
+        return records;
+    }
+
     std::function<void()> pending_;
     done_handler watch_;
+    std::vector<registry_change> decoded_;
     std::uint64_t revision_ = 1;
 };
 
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -101,6 +101,14 @@
     /// Number of entries, including held ones.
     std::size_t size() const { return entries_.size(); }
 
+    /// Calls the function with each entry, including held ones.
+    template <class Visitor>
+    void visit(Visitor visitor) const {
+        for (const auto& [id, stored] : entries_) {
+            visitor(stored.listed);
+        }
+    }
+
     /// Returns the target IPs of all entries; an IP may occur more than once.
     std::vector<std::string> ips() const;
 
@@ -138,15 +146,17 @@
     void apply_announcement(listed_instance& listed);
     /// Adds or updates an entry without rebuilding the indexes.
     directory_change store(listed_instance listed);
-    /// Rebuilds the indexes by service and by address.
-    void rebuild();
+    /// Rebuilds the indexes by service and by address if entries have changed since the last time,
+    /// so that a batch of changes costs one pass over the entries.
+    void update_indexes() const;
 
     std::map<instance_id, entry> entries_;
     std::unordered_map<instance_id, last_report> last_reports_;
     std::unordered_map<instance_id, leaving_process> leaving_processes_;
-    std::unordered_map<service_name, std::vector<listed_instance>> usable_;
+    mutable std::unordered_map<service_name, std::vector<listed_instance>> usable_;
     /// Id of the last listed entry for each target address.
-    std::map<endpoint, instance_id> by_address_;
+    mutable std::map<endpoint, instance_id> by_address_;
+    mutable bool are_indexes_current_ = true;
     bool is_source_lost_ = false;
     std::optional<time_point> regained_at_;
 };
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -25,7 +25,7 @@
             changes.emplace_back(id, change);
         }
     }
-    rebuild();
+    are_indexes_current_ = false;
     std::vector<instance_id> missing;
     for (const auto& [id, stored] : entries_) {
         if (!present.contains(id) && !stored.missing_since) {
@@ -65,7 +65,7 @@
 directory_change instance_directory::put(listed_instance listed) {
     const auto change = store(std::move(listed));
     if (change != directory_change::none && change != directory_change::outdated) {
-        rebuild();
+        are_indexes_current_ = false;
     }
     return change;
 }
@@ -106,7 +106,7 @@
         return directory_change::held;
     }
     erase(now, id);
-    rebuild();
+    are_indexes_current_ = false;
     return directory_change::removed;
 }
 
@@ -127,7 +127,7 @@
     if (!was_ready || listed.state == listed_state::ready) {
         return directory_change::none;
     }
-    rebuild();
+    are_indexes_current_ = false;
     return directory_change::draining;
 }
 
@@ -172,13 +172,14 @@
         erase(now, id);
     }
     if (!expired.empty()) {
-        rebuild();
+        are_indexes_current_ = false;
     }
     return expired;
 }
 
 const std::vector<listed_instance>& instance_directory::usable(const service_name& service) const {
     static const std::vector<listed_instance> none;
+    update_indexes();
     const auto found = usable_.find(service);
     return found == usable_.end() ? none : found->second;
 }
@@ -189,6 +190,7 @@
 }
 
 const listed_instance* instance_directory::at_address(const endpoint& target) const {
+    update_indexes();
     const auto found = by_address_.find(target);
     return found == by_address_.end() ? nullptr : find(found->second);
 }
@@ -201,7 +203,11 @@
     return all;
 }
 
-void instance_directory::rebuild() {
+void instance_directory::update_indexes() const {
+    if (are_indexes_current_) {
+        return;
+    }
+    are_indexes_current_ = true;
     usable_.clear();
     by_address_.clear();
     for (const auto& [id, stored] : entries_) {
