--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -42,6 +42,9 @@
     /// not be retried needs a shorter limit, because the peer may be closing an idle connection at
     /// the same moment.
     std::chrono::milliseconds max_idle_time{60'000};
+    /// Maximum time that sent data may stay unacknowledged. The exchange fails with
+    /// exchange_failure::connection_lost when it elapses.
+    std::chrono::milliseconds acknowledgement_timeout{2500};
     /// Returns false for a response that belongs to an earlier request on the same connection.
     /// Such a response is discarded. If unset, every response is accepted.
     std::function<bool(const response_head&)> is_expected;
@@ -90,6 +93,10 @@
 /// Sends each request over a new or a pooled connection, without pipelining. A connection returns
 /// to the pool only after a complete response to a complete request, with no surplus bytes after
 /// the response. The client never retries a request.
+///
+/// Connections can fall silent without an error, often many at once. When a request has had no
+/// acknowledgement in time, the idle connections to its address are closed that have not been used
+/// since; when this happens at two addresses in short succession, those to all addresses.
 class client {
 public:
     using handler = std::function<void(exchange_event)>;
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -57,6 +57,9 @@
     std::size_t unsent_bytes() const;
     bool is_connected() const;
 
+    /// Sets the TCP user timeout: unacknowledged data ends the connection after this time.
+    void set_user_timeout(std::chrono::milliseconds timeout);
+
     void pause_reading();
     void resume_reading();
 
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -24,6 +24,9 @@
 /// responses to earlier requests.
 constexpr std::size_t max_bytes_before_response = 1U << 20U;
 
+/// Two addresses at which connections fall silent within this time suggest that others have too.
+constexpr std::uint64_t silence_correlation_ms = 1000;
+
 /// Returns the idle timeout announced by a `Keep-Alive: timeout=SECONDS` field, if there is one.
 std::optional<std::chrono::milliseconds> idle_timeout_of(const response_head& head) {
     const auto value = find_header(head.headers, "keep-alive");
@@ -64,12 +67,21 @@
     void add_idle(const std::shared_ptr<connection>& released);
     void remove_idle(const connection* closed_connection);
     void close_expired_connections();
+    /// Closes idle connections after a request to the address, started at `since`, has had no
+    /// acknowledgement.
+    void handle_silence(const endpoint& where, std::uint64_t since);
+    /// Closes the connections that have not been used since then.
+    static void close_idle_since(std::deque<std::shared_ptr<connection>>& idle_connections,
+                                 std::uint64_t since);
 
     uv_loop_t* loop_;
     connection_pool_limits limits_;
     client_counts counts_;
     /// Idle connections by address, with the most recently used one at the back.
     std::map<endpoint, std::deque<std::shared_ptr<connection>>> idle_;
+    /// Where and when a connection was last found silent.
+    std::optional<endpoint> silent_address_;
+    std::uint64_t silent_at_ = 0;
 };
 
 /// One connection. It is in use while it has an active exchange, else idle.
@@ -108,6 +120,12 @@
             parser_.expect_no_body();
         }
     }
+    /// Notes the start of a request, whose data must be acknowledged within the timeout.
+    void start_request(std::uint64_t now, std::chrono::milliseconds acknowledgement_timeout) {
+        request_started_ = now;
+        acknowledgement_timeout_ = acknowledgement_timeout;
+        stream_->set_user_timeout(acknowledgement_timeout);
+    }
     bool has_answer_bytes() const { return has_answer_bytes_; }
     void set_unusable() { is_reusable_ = false; }
     bool is_reusable() const { return is_reusable_ && stream_ != nullptr; }
@@ -141,6 +159,8 @@
     /// True once the head of the expected response has arrived.
     bool is_answer_begun_ = false;
     std::size_t bytes_before_answer_ = 0;
+    std::uint64_t request_started_ = 0;
+    std::chrono::milliseconds acknowledgement_timeout_{0};
 };
 
 /// Implementation of exchange. It holds its connection until the exchange is over.
@@ -291,6 +311,14 @@
         parser_.finish(events);
         handle_events(std::move(events));
     }
+    const auto pool = pool_.lock();
+    if (exchange_ != nullptr && pool != nullptr && end_reason == close_reason::lost &&
+        !has_answer_bytes_) {
+        const auto waited = uv_now(pool->loop_) - request_started_;
+        if (waited >= static_cast<std::uint64_t>(acknowledgement_timeout_.count())) {
+            pool->handle_silence(to_, request_started_);
+        }
+    }
     if (exchange_ != nullptr) {
         fail(end_reason == close_reason::not_connected ? exchange_failure::not_sent
              : has_answer_bytes_                       ? exchange_failure::bad_answer
@@ -375,6 +403,7 @@
     ++counts_.requests;
     auto made = std::make_unique<active_exchange>(shared_from_this(), assigned_connection,
                                                   std::move(on_event), head.framing);
+    assigned_connection->start_request(uv_now(loop_), options.acknowledgement_timeout);
     assigned_connection->attach(made.get(), head.method == "HEAD", std::move(options.is_expected));
     made->send_request(to_bytes(head), body, is_complete, options.connect_timeout);
     return made;
@@ -427,6 +456,30 @@
     }
 }
 
+void client::impl::close_idle_since(std::deque<std::shared_ptr<connection>>& idle_connections,
+                                    std::uint64_t since) {
+    std::erase_if(idle_connections, [&](const std::shared_ptr<connection>& idle_connection) {
+        const bool is_unused = idle_connection->idle_since() <= since;
+        if (is_unused) {
+            idle_connection->stream_.reset();
+        }
+        return is_unused;
+    });
+}
+
+void client::impl::handle_silence(const endpoint& where, std::uint64_t since) {
+    const auto now = uv_now(loop_);
+    const bool is_elsewhere_too =
+        silent_address_ && *silent_address_ != where && now - silent_at_ <= silence_correlation_ms;
+    silent_address_ = where;
+    silent_at_ = now;
+    for (auto& [address, idle_connections] : idle_) {
+        if (is_elsewhere_too || address == where) {
+            close_idle_since(idle_connections, since);
+        }
+    }
+}
+
 void client::impl::close_expired_connections() {
     const auto now = uv_now(loop_);
     for (auto at = idle_.begin(); at != idle_.end();) {
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// TCP user timeout: unacknowledged data ends the connection after this time, in milliseconds.
-constexpr unsigned user_timeout_ms = 2500;
+constexpr int user_timeout_ms = 2500;
 /// Idle time before the first keep-alive probe and time between probes, in seconds.
 constexpr int keep_alive_idle_s = 2;
 constexpr int keep_alive_interval_s = 1;
@@ -111,6 +111,18 @@
         }
     }
 
+    void set_user_timeout(std::chrono::milliseconds timeout) {
+        const auto timeout_ms = static_cast<int>(timeout.count());
+        if (timeout_ms == user_timeout_ms_) {
+            return;
+        }
+        user_timeout_ms_ = timeout_ms;
+        uv_os_fd_t socket = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
+            set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+        }
+    }
+
     std::size_t unsent_bytes() const { return unsent_ + unsent_before_connect_.size(); }
     bool is_connected() const { return is_connected_; }
 
@@ -292,6 +304,7 @@
     std::string unsent_before_connect_;
     std::size_t unsent_ = 0;
     int open_handles_ = 2;
+    int user_timeout_ms_ = user_timeout_ms;
     bool is_connected_ = false;
     bool is_paused_ = false;
     bool is_closing_ = false;
@@ -327,6 +340,10 @@
     impl_->write(std::move(bytes));
 }
 
+void tcp_stream::set_user_timeout(std::chrono::milliseconds timeout) {
+    impl_->set_user_timeout(timeout);
+}
+
 std::size_t tcp_stream::unsent_bytes() const {
     return impl_->unsent_bytes();
 }
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -2,6 +2,8 @@
 // raw bytes.
 #include <doctest/doctest.h>
 
+#include <array>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <memory>
@@ -86,6 +88,13 @@
 
     endpoint listen_address() const { return {"127.0.0.1", port_}; }
 
+    /// Reads nothing more from the present connections, so that data is no longer acknowledged.
+    void stop_reading() {
+        for (const auto& stream : streams_) {
+            stream->pause_reading();
+        }
+    }
+
     /// What happens to the connection after a response.
     enum class after { keep, close, reset };
     after after_answer = after::keep;
@@ -356,6 +365,84 @@
     CHECK(event_loop.run_until([&] { return target.is_closed(); }));
 }
 
+namespace {
+
+/// A client whose requests can be left without an acknowledgement. Each target gets more
+/// connections than one request needs.
+struct silence_fixture {
+    static constexpr std::size_t target_count = 3;
+    static constexpr std::size_t connections_per_target = 2;
+
+    test_loop event_loop;
+    std::vector<std::unique_ptr<raw_target>> targets;
+    client sender{&event_loop.loop, {}};
+
+    silence_fixture() {
+        for (std::size_t i = 0; i < target_count; ++i) {
+            targets.push_back(std::make_unique<raw_target>(
+                &event_loop.loop, std::vector<std::string>{ok_response("7", "abc")}));
+            std::array<exchange_record, connections_per_target> records;
+            for (auto& record : records) {
+                start_request(sender, targets[i]->listen_address(), record);
+            }
+            for (auto& record : records) {
+                REQUIRE(event_loop.run_until([&] { return record.is_complete; }));
+            }
+        }
+    }
+
+    /// Sends more than the target's socket buffers hold and returns the time until the failure.
+    std::chrono::nanoseconds send_unacknowledged(raw_target& target) {
+        target.stop_reading();
+        request_head head;
+        head.method = "POST";
+        head.target = "/";
+        head.framing = body_framing::length;
+        const std::string body(32U << 20U, 'x');
+        head.content_length = body.size();
+        exchange_options options;
+        options.acknowledgement_timeout = std::chrono::milliseconds(300);
+        bool has_failed = false;
+        const auto started = uv_hrtime();
+        const auto exchange = sender.start(
+            target.listen_address(), head, body, true, options, [&](const exchange_event& event) {
+                has_failed = std::holds_alternative<exchange_failure>(event);
+            });
+        REQUIRE(event_loop.run_until([&] { return has_failed; }));
+        return std::chrono::nanoseconds(uv_hrtime() - started);
+    }
+
+    /// True if a request to the target goes over a connection that was opened before.
+    bool reuses_connection(const raw_target& target) {
+        const auto before = sender.counts().connections_opened;
+        exchange_record record;
+        start_request(sender, target.listen_address(), record);
+        return sender.counts().connections_opened == before;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request without an acknowledgement fails after its own time limit") {
+    silence_fixture site;
+    CHECK(site.send_unacknowledged(*site.targets[0]) < std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("idle connections are not used after a request beside them had no acknowledgement") {
+    silence_fixture site;
+    site.send_unacknowledged(*site.targets[0]);
+    CHECK_FALSE(site.reuses_connection(*site.targets[0]));
+    CHECK(site.reuses_connection(*site.targets[1]));
+}
+
+TEST_CASE("no idle connection is used after requests to two targets had no acknowledgement") {
+    silence_fixture site;
+    site.send_unacknowledged(*site.targets[0]);
+    site.send_unacknowledged(*site.targets[1]);
+    CHECK_FALSE(site.reuses_connection(*site.targets[1]));
+    CHECK_FALSE(site.reuses_connection(*site.targets[2]));
+}
+
 TEST_CASE("a request without a listener fails as not sent") {
     test_loop event_loop;
     client sender(&event_loop.loop, {});
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -12,9 +12,14 @@
 /// Round trips between nodes take a few milliseconds. A node that does not accept a connection
 /// within this time is unreachable or down.
 constexpr std::chrono::milliseconds peer_connect_timeout{400};
-/// Maximum idle time of a pooled connection for a request that cannot be repeated, to avoid
-/// connections that the peer may be closing.
-constexpr std::chrono::milliseconds non_idempotent_max_idle{5000};
+/// A request that cannot be repeated goes over a new connection: a pooled one may be closing or
+/// silent, and it would then be unknown whether the request has run.
+constexpr std::chrono::milliseconds non_idempotent_max_idle{0};
+/// Maximum time without an acknowledgement for a request that can be repeated. A segment is sent
+/// again after 200 ms if it was lost.
+constexpr std::chrono::milliseconds idempotent_acknowledgement_timeout{500};
+/// Larger bodies may have to wait until the peer has read a part of them.
+constexpr std::size_t max_body_acknowledged_at_once = 16U << 10U;
 
 class peer_attempt : public attempt {
 public:
@@ -32,6 +37,9 @@
         options.connect_timeout = peer_connect_timeout;
         if (request.terms.repeats == repeatability::at_most_once) {
             options.max_idle_time = non_idempotent_max_idle;
+        } else if (request.is_body_complete &&
+                   request.body.size() <= max_body_acknowledged_at_once) {
+            options.acknowledgement_timeout = idempotent_acknowledgement_timeout;
         }
         exchange_ = client.start(
             request.peer, request.head, request.body, request.is_body_complete, std::move(options),
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -178,6 +178,35 @@
     CHECK(site.reached(0) + site.reached(1) == 1);
 }
 
+TEST_CASE("a request that must not be repeated never goes over an idle connection to a node") {
+    two_machine_site site;
+    site.change({instance_removed{instance_id("i0")}});
+    const auto opened = [&] {
+        reply got;
+        http1::request_head head;
+        head.method = "GET";
+        head.target = "/";
+        got.running = site.client->start(
+            {site.ip(0), site.metrics_port}, head, {}, true, {},
+            [&got](http1::exchange_event event) { two_machine_site::take(got, std::move(event)); });
+        REQUIRE(site.run_until([&] { return got.is_finished; }));
+        const std::string name = "\ntrefoil_peer_connections_total ";
+        return std::stoul(got.body.substr(got.body.find(name) + name.size()));
+    };
+    for (int i = 0; i < 3; ++i) {
+        CHECK(site.ask("/read/1").status == 200);
+    }
+    CHECK(opened() == 1);
+    const auto wake = uv_hrtime() + 20'000'000ULL;
+    site.run_until([&] { return uv_hrtime() > wake; });
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(site.ask("/write/1").status == 200);
+        CHECK(opened() == 2 + i);
+        const auto later = uv_hrtime() + 20'000'000ULL;
+        site.run_until([&] { return uv_hrtime() > later; });
+    }
+}
+
 TEST_CASE("a request of another node that doesn't say how long its caller waits is refused") {
     two_machine_site site;
     http1::request_head head;
