--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -164,6 +164,7 @@
             std::numeric_limits<double>::infinity());
         const auto& target = state_.dispatcher.counts();
         const auto& peers = state_.peers.counts();
+        const auto& registry = registry_.counts();
         return state_.metrics.text() +
                fmt::format("# TYPE trefoil_target_in_flight gauge\n"
                            "trefoil_target_in_flight {}\n"
@@ -183,12 +184,19 @@
                            "trefoil_config_version {}\n"
                            "# TYPE trefoil_registry_answer_age_seconds gauge\n"
                            "trefoil_registry_answer_age_seconds {}\n"
+                           "# TYPE trefoil_registry_requests_total counter\n"
+                           "trefoil_registry_requests_total {}\n"
+                           "# TYPE trefoil_registry_polls_sent_total counter\n"
+                           "trefoil_registry_polls_sent_total {}\n"
+                           "# TYPE trefoil_registry_polls_received_total counter\n"
+                           "trefoil_registry_polls_received_total {}\n"
                            "# TYPE trefoil_instances gauge\n"
                            "trefoil_instances {}\n",
                            load.in_flight, load.queued, load.limit, rate_limit, target.requests,
                            target.connections_opened, peers.connections_opened,
                            state_.routes == nullptr ? 0 : state_.routes->config().version,
-                           to_seconds(registry_.staleness()), state_.directory.size());
+                           to_seconds(registry_.staleness()), registry.requests,
+                           registry.polls_sent, registry.polls_received, state_.directory.size());
     }
 
     void run_housekeeping() {
--- a/libs/proxy/src/registry_poll_server.hpp
+++ b/libs/proxy/src/registry_poll_server.hpp
@@ -37,8 +37,6 @@
     /// Refuses the waiting polls and all later ones, since this node stops.
     void close();
 
-    std::size_t waiting() const { return waiting_.size(); }
-
 private:
     struct waiting_poll {
         registry_poll poll;
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -46,7 +46,7 @@
 void registry_sync::list_nodes() {
     update_bounds();
     const auto timing = registry_timing_for(bounds_of(state_.settings), true);
-    is_requesting_ = true;
+    note_request("list");
     client_.read(registry_topic::instances, read_consistency::serializable, timing.answer_timeout,
                  [this](registry_result listed) {
                      is_requesting_ = false;
@@ -137,6 +137,7 @@
 
 void registry_sync::note_request(std::string_view call) {
     is_requesting_ = true;
+    ++counts_.requests;
     request_ = {call, http1::boot_time()};
 }
 
@@ -154,9 +155,10 @@
 }
 
 void registry_sync::read_instances(duration answer_timeout, registry_changes config) {
-    is_requesting_ = true;
+    const auto started = request_.started;
+    note_request("read");
     client_.read(registry_topic::instances, read_consistency::linearizable, answer_timeout,
-                 [this, config = std::move(config)](registry_result result) {
+                 [this, started, config = std::move(config)](registry_result result) {
                      auto read = accept_result(std::move(result));
                      if (read) {
                          // The configuration is watched from the revision of its own read, which
@@ -166,8 +168,7 @@
                          auto records = std::move(read->records);
                          records.insert(records.end(), config.records.begin(),
                                         config.records.end());
-                         merge({true, std::move(records), revision}, "read", request_.started,
-                               request_.started);
+                         merge({true, std::move(records), revision}, "read", started, started);
                      }
                      step();
                  });
@@ -269,6 +270,7 @@
         return;
     }
     log_reader(*reader);
+    ++counts_.polls_sent;
     const bool is_urgent = sharing_.staleness(now) >= sharing_.timing().switch_reader_after;
     poller_.start({*reader, state_.settings.peer_listener.port},
                   {view_.replica().revision(), is_urgent}, sharing_.poll_timeout(now),
@@ -314,6 +316,7 @@
     const auto now = http1::boot_time();
     const bool was_reader = sharing_.is_reader(now);
     sharing_.record_poll(now);
+    ++counts_.polls_received;
     poll_server_.serve(now, request, state_for_polls());
     if (!was_reader) {
         step();
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -21,6 +21,18 @@
 
 namespace trefoil {
 
+/// Requests that a node has made and answered to follow the registry.
+struct registry_counts {
+    /// Reads and watches of the registry.
+    std::uint64_t requests = 0;
+    /// Polls sent to other nodes.
+    std::uint64_t polls_sent = 0;
+    /// Polls received from other nodes.
+    std::uint64_t polls_received = 0;
+
+    friend bool operator==(const registry_counts&, const registry_counts&) = default;
+};
+
 /// Carries out what the registry follower and the reading policy decide: reads and watches of the
 /// registry, polls of other nodes, and answers to theirs.
 class registry_sync {
@@ -47,6 +59,9 @@
     /// Time since the view was last known to be current.
     duration staleness() const;
 
+    /// Counters since the start of the node.
+    const registry_counts& counts() const { return counts_; }
+
 private:
     /// The request to the registry that is in progress.
     struct pending_request {
@@ -104,6 +119,7 @@
     bool is_pausing_ = false;
     bool is_outage_logged_ = false;
     pending_request request_;
+    registry_counts counts_;
     /// The node that was polled last, for the log.
     std::string logged_reader_;
     /// Time of the last merge, for the log.
