--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -65,7 +65,7 @@
 
 /// For whom a node reads the registry.
 enum class reading_role : std::uint8_t {
-    /// For itself, in place of polling a reader that does not answer or does not exist.
+    /// For itself, in a failure domain whose nodes do not share their reading.
     for_itself,
     /// For nodes that poll it.
     for_others,
--- a/libs/proxy/include/trefoil/proxy/registry_replica.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_replica.hpp
@@ -24,9 +24,9 @@
     friend bool operator==(const registry_difference&, const registry_difference&) = default;
 };
 
-/// Copy of the published records that can be fed from several sources, the registry and other
-/// nodes, in any order: of two words on one key that with the higher revision holds. It keeps the
-/// latest changes, and gives everything to nodes that lack older ones.
+/// Copy of the published records. It merges what several sources send, the registry and other
+/// nodes, in any order: of two records with one key it keeps the one with the higher revision. It
+/// also keeps the latest changes, and returns everything to nodes that lack older ones.
 class registry_replica {
 public:
     /// Maximum number of changes that are kept.
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -50,7 +50,7 @@
     client_.read(registry_topic::instances, read_consistency::serializable, timing.answer_timeout,
                  [this](const registry_result& listed) {
                      is_requesting_ = false;
-                     if (must_list_again(listed)) {
+                     if (take_list(listed)) {
                          pause(list_interval);
                          return;
                      }
@@ -61,7 +61,7 @@
                  });
 }
 
-bool registry_sync::must_list_again(const registry_result& listed) {
+bool registry_sync::take_list(const registry_result& listed) {
     const auto* found = std::get_if<registry_changes>(&listed);
     if (found == nullptr) {
         return false;
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -74,8 +74,9 @@
     /// starts; then it is read again until it no longer grows, or until this node has to read for
     /// itself.
     void list_nodes();
-    /// Returns true if the list has to be read again.
-    bool must_list_again(const registry_result& listed);
+    /// Sets the nodes of the list as those that may be polled. Returns true if the list has to be
+    /// read again.
+    bool take_list(const registry_result& listed);
     void continue_after_pause();
     void step();
     void pause(duration delay);
--- a/libs/proxy/tests/registry_replica_test.cpp
+++ b/libs/proxy/tests/registry_replica_test.cpp
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("any order of differences from two sources leads to the same copy") {
-    const std::vector<registry_difference> words = {
+    const std::vector<registry_difference> differences = {
         {true, {put("a", 4), put("b", 10)}, 10},
         {false, {put("a", 11), removal("b", 12)}, 12},
         {true, {put("a", 11), put("c", 14)}, 14},
@@ -90,9 +90,9 @@
     do {
         registry_replica replica;
         for (const auto index : order) {
-            replica.merge(words[index]);
+            replica.merge(differences[index]);
         }
-        replica.merge(words.back());
+        replica.merge(differences.back());
         CHECK(replica.revision() == 16);
         CHECK(replica.changes_since(0).records ==
               std::vector<registry_record>{put("a", 11), put("b", 15)});
