--- a/libs/proxy/tests/shared_reading_test.cpp
+++ b/libs/proxy/tests/shared_reading_test.cpp
@@ -214,13 +214,11 @@
     uv_loop_t loop{};
     std::unique_ptr<fleet_registry> registry;
     std::vector<std::unique_ptr<proxy_node>> nodes;
-    std::unique_ptr<http1::client> client;
     std::uint16_t port = static_cast<std::uint16_t>(24'000 + getpid() % 8'000);
 
     shared_domain() {
         uv_loop_init(&loop);
         registry = std::make_unique<fleet_registry>(&loop);
-        client = std::make_unique<http1::client>(&loop, http1::connection_pool_limits{});
         nodes.resize(node_count);
         for (std::size_t i = 0; i < node_count; ++i) {
             start_node(i);
@@ -232,7 +230,6 @@
 
     ~shared_domain() {
         nodes.clear();
-        client.reset();
         registry.reset();
         uv_run(&loop, UV_RUN_DEFAULT);
         uv_loop_close(&loop);
@@ -276,20 +273,19 @@
         http1::request_head head;
         head.method = "GET";
         head.target = "/";
-        http1::exchange_options options;
-        // The node may have been replaced since the last question.
-        options.max_idle_time = std::chrono::milliseconds(0);
+        // A client of its own, since the node may have been replaced since the last question.
+        http1::client client(&loop, http1::connection_pool_limits{});
         std::string body;
         bool is_finished = false;
         const auto exchange =
-            client->start(settings(node).metrics_listener, head, {}, true, std::move(options),
-                          [&](const http1::exchange_event& event) {
-                              if (const auto* piece = std::get_if<http1::body_piece>(&event)) {
-                                  body += piece->bytes;
-                              }
-                              is_finished = std::holds_alternative<http1::message_end>(event) ||
-                                            std::holds_alternative<http1::exchange_failure>(event);
-                          });
+            client.start(settings(node).metrics_listener, head, {}, true, {},
+                         [&](const http1::exchange_event& event) {
+                             if (const auto* piece = std::get_if<http1::body_piece>(&event)) {
+                                 body += piece->bytes;
+                             }
+                             is_finished = std::holds_alternative<http1::message_end>(event) ||
+                                           std::holds_alternative<http1::exchange_failure>(event);
+                         });
         REQUIRE(run_until([&] { return is_finished; }, 1s));
         const std::string name = "\ntrefoil_config_version ";
         const auto at = body.find(name);
