Log since when the store may be back, and by what a node learnt of an instance's change

- platform_reachable: last_failure_ms, the greatest time for which the way can have been back; failures was always 0, since it was read after its reset, and counts now.
- instance_listed, _leaving, _held, _dropped: revision, call and silent_ms of the change.
- instance_dropped cause=stayed_missing: back_ms since the node counts the store as back.
It moves to registry_view with the others.
- registry_records_ignored: records that are older than what the replica knows, which left no line.

No decision is changed. proxy_test, shared_reading_test, traffic_test, target_leaving_test pass.

--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -31,6 +31,7 @@
     item_unreadable = 2010,
     registry_read_again = 2011,
     registry_reader_changed = 2012,
+    registry_records_ignored = 2013,
     target_down = 3001,
     target_up = 3002,
     level_raised = 3003,
--- a/libs/proxy/include/trefoil/proxy/registry_replica.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_replica.hpp
@@ -47,12 +47,18 @@
     /// Highest revision that the copy contains; 0 if it is empty.
     std::uint64_t revision() const { return revision_; }
 
+    /// Number of merged records so far that were older than what was known of their key.
+    std::size_t ignored_records() const { return ignored_records_; }
+
     /// Returns what a node lacks that is at the given revision; nothing if it lacks nothing.
     registry_difference changes_since(std::uint64_t revision) const;
 
 private:
     /// Revision of the last known change or removal of the key; 0 if there is none.
     std::uint64_t last_change(const std::string& key) const;
+    /// True if a later change of the key is known, or this one, or if the change was made up to
+    /// `forgotten` and the key has no record. Counts those that are older.
+    bool is_known(const registry_record& change, std::uint64_t forgotten);
     void store(const registry_record& record);
     /// Drops the changes up to the revision, which all records contain.
     void forget_changes(std::uint64_t revision);
@@ -63,6 +69,7 @@
     /// The latest changes, by ascending revision.
     std::deque<registry_record> changes_;
     std::uint64_t revision_ = 0;
+    std::size_t ignored_records_ = 0;
     /// All changes after this revision are kept.
     std::uint64_t oldest_revision_ = 0;
 };
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -209,12 +209,6 @@
         }
         last_run_ = now;
         callers_->close_timed_out_connections();
-        for (const auto& id : state_.directory.expire(now)) {
-            state_.add_log_record(log_class::state_change, [&] {
-                return log_record{log_event::instance_dropped,
-                                  {{"instance", id.str()}, {"cause", "stayed_missing"}}};
-            });
-        }
         registry_.run_housekeeping();
         if (++housekeeping_runs_ % slow_housekeeping_period == 0) {
             peers_->close_timed_out_connections();
--- a/libs/proxy/src/registry_replica.cpp
+++ b/libs/proxy/src/registry_replica.cpp
@@ -15,6 +15,16 @@
     return removed == removals_.end() ? 0 : removed->second;
 }
 
+bool registry_replica::is_known(const registry_record& change, std::uint64_t forgotten) {
+    const auto known = last_change(change.key);
+    const auto last = records_.contains(change.key) ? known : std::max(known, forgotten);
+    if (change.revision == 0 || change.revision > last) {
+        return false;
+    }
+    ignored_records_ += change.revision < known ? 1 : 0;
+    return true;
+}
+
 void registry_replica::store(const registry_record& record) {
     if (record.is_removal) {
         records_.erase(record.key);
@@ -28,10 +38,7 @@
 std::vector<registry_record> registry_replica::merge_changes(std::vector<registry_record> changes,
                                                              std::uint64_t revision) {
     std::erase_if(changes, [&](const registry_record& change) {
-        const bool is_listed = records_.contains(change.key);
-        const auto last = is_listed ? last_change(change.key)
-                                    : std::max(last_change(change.key), oldest_revision_);
-        if (change.revision != 0 && change.revision <= last) {
+        if (is_known(change, oldest_revision_)) {
             return true;
         }
         store(change);
@@ -61,7 +68,7 @@
         }
     }
     std::erase_if(all, [&](const registry_record& record) {
-        if (record.revision != 0 && record.revision <= last_change(record.key)) {
+        if (is_known(record, 0)) {
             return true;
         }
         store(record);
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -227,6 +227,8 @@
     }
     const auto now = http1::boot_time();
     sharing_.record_failed_read(now);
+    last_failure_began_ = request_.started;
+    ++failures_;
     const bool is_lost =
         follower_.is_registry_lost() && (!sharing_.is_sharing() || sharing_.is_registry_lost(now));
     if (is_lost) {
@@ -249,6 +251,7 @@
 
 void registry_sync::handle_success() {
     state_.directory.source_regained(state_.now());
+    const auto failures = std::exchange(failures_, 0);
     if (!is_outage_logged_) {
         return;
     }
@@ -256,7 +259,8 @@
     state_.add_log_record(log_class::state_change, [&] {
         return log_record{log_event::platform_reachable,
                           {{"silent_ms", ms_text(staleness())},
-                           {"failures", std::to_string(follower_.failures())}}};
+                           {"failures", std::to_string(failures)},
+                           {"last_failure_ms", ms_text(http1::boot_time() - last_failure_began_)}}};
     });
 }
 
@@ -330,6 +334,7 @@
 }
 
 void registry_sync::run_housekeeping() {
+    view_.drop_expired();
     poller_.close_expired_connections();
     const auto now = http1::boot_time();
     if (sharing_.is_sharing() && has_read_ && sharing_.is_registry_lost(now)) {
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -120,6 +120,10 @@
     bool is_pausing_ = false;
     bool is_outage_logged_ = false;
     pending_request request_;
+    /// Requests to the registry that have failed since the last answer.
+    std::uint32_t failures_ = 0;
+    /// Start of the last request to the registry that failed.
+    time_point last_failure_began_;
     registry_counts counts_;
     /// The node that was polled last, for the log.
     std::string logged_reader_;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -30,28 +30,31 @@
 
 void registry_view::merge(registry_difference difference, const answer_source& source) {
     source_ = source;
+    const auto ignored_before = replica_.ignored_records();
     apply(replica_.merge(std::move(difference)));
+    log_ignored_records(replica_.ignored_records() - ignored_before);
 }
 
 void registry_view::apply(const std::vector<registry_record>& records) {
     for (const auto& record : records) {
         if (auto change = client_.decode(record)) {
-            apply_change(std::move(*change));
+            apply_change(std::move(*change), record.revision);
         }
     }
     state_.retry_limiter.set_nodes(state_.directory.size());
     update_local_target();
 }
 
-void registry_view::apply_change(registry_change change) {
+void registry_view::apply_change(registry_change change, std::uint64_t revision) {
     std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
                           [&](listed_instance& listed) {
                               const auto id = listed.id;
-                              log_directory_change(id, state_.directory.put(listed));
+                              log_directory_change(id, state_.directory.put(listed), revision);
                           },
                           [&](const instance_removed& removed) {
                               log_directory_change(
-                                  removed.id, state_.directory.remove(state_.now(), removed.id));
+                                  removed.id, state_.directory.remove(state_.now(), removed.id),
+                                  revision);
                           },
                           [&](const unreadable_item& item) {
                               state_.add_log_record(log_class::state_change, [&] {
@@ -83,7 +86,34 @@
     });
 }
 
-void registry_view::log_directory_change(const instance_id& id, directory_change change) {
+void registry_view::log_ignored_records(std::size_t count) {
+    if (count == 0) {
+        return;
+    }
+    state_.add_log_record(log_class::state_change, [&] {
+        return log_record{log_event::registry_records_ignored,
+                          {{"count", std::to_string(count)},
+                           {"revision", std::to_string(replica_.revision())},
+                           {"call", std::string(source_.call)},
+                           {"silent_ms", ms_text(source_.silence)}}};
+    });
+}
+
+void registry_view::drop_expired() {
+    const auto now = state_.now();
+    const auto returned_at = state_.directory.source_returned_at();
+    for (const auto& id : state_.directory.expire(now)) {
+        state_.add_log_record(log_class::state_change, [&] {
+            return log_record{log_event::instance_dropped,
+                              {{"instance", id.str()},
+                               {"cause", "stayed_missing"},
+                               {"back_ms", ms_text(now - returned_at.value_or(now))}}};
+        });
+    }
+}
+
+void registry_view::log_directory_change(const instance_id& id, directory_change change,
+                                         std::uint64_t revision) {
     if (change == directory_change::none) {
         return;
     }
@@ -96,6 +126,9 @@
             record.fields.emplace_back("target", to_string(listed->target));
             record.fields.emplace_back("slots", std::to_string(listed->slots));
         }
+        record.fields.emplace_back("revision", std::to_string(revision));
+        record.fields.emplace_back("call", source_.call);
+        record.fields.emplace_back("silent_ms", ms_text(source_.silence));
         return record;
     });
 }
--- a/libs/proxy/src/registry_view.hpp
+++ b/libs/proxy/src/registry_view.hpp
@@ -36,11 +36,17 @@
 
     const registry_replica& replica() const { return replica_; }
 
+    /// Drops the instances that have been held for as long as they may be.
+    void drop_expired();
+
 private:
     void apply(const std::vector<registry_record>& records);
-    void apply_change(registry_change change);
+    void apply_change(registry_change change, std::uint64_t revision);
+    void log_ignored_records(std::size_t count);
     void apply_config(traffic_config config);
-    void log_directory_change(const instance_id& id, directory_change change);
+    /// `revision` is that of the registry's change that caused this one.
+    void log_directory_change(const instance_id& id, directory_change change,
+                              std::uint64_t revision);
     void update_local_target();
 
     proxy_state& state_;
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -81,6 +81,10 @@
     /// Notes the start and the end of a registry outage.
     void source_lost();
     void source_regained(time_point now);
+    /// The end of the last outage; empty if there was none or it lasts.
+    std::optional<time_point> source_returned_at() const {
+        return is_source_lost_ ? std::nullopt : regained_at_;
+    }
 
     /// Drops the held entries once the registry is reachable and the grace period is over, and
     /// returns their ids.
