Hold missing entries no longer than the stable window after a cut

Cause: an entry that is missing after an outage is held for 1.9 s, since its target may renew it, and this counted from the moment at which the node had read the list. Before it came up to 1.2 s of a connection that was begun during the cut, up to 0.6 s of back-off, and once more 0.3 to 0.6 s after the store had answered that its history is gone. The target in question left before it had renewed its entry, so no removal ever came.

Change: the hold ends at 95 % of the stable window after the last request that failed began, which is not later than the end of the cut; a timer ends it, not the next housekeeping. To keep it long enough for targets that do come back, attempts in a cut are at most a quarter of the window and 300 ms apart, and a 410 is an answer: the read follows at once. Nodes that poll take over when their reader's last request failed, in a field of its own that former versions ignore.

--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -89,6 +89,16 @@
 
 using registry_result = std::variant<registry_changes, registry_error>;
 
+/// Time limits of a request to the registry.
+struct request_timeouts {
+    /// Maximum time to establish a connection.
+    duration connect{0};
+    /// Maximum time without a byte of the answer, beyond the time that the registry may wait.
+    duration answer{0};
+
+    friend bool operator==(const request_timeouts&, const request_timeouts&) = default;
+};
+
 /// Client of the store, implemented by the adapter of a platform. At most one request is in
 /// progress at a time.
 class registry_client {
@@ -101,15 +111,15 @@
     /// has no meaning to the proxy.
     virtual std::optional<registry_change> decode(const registry_record& record) const = 0;
 
-    /// Reads all items of the topic. Fails with `unreachable` if no byte of an answer arrives for
-    /// `answer_timeout`. `done` is called once, asynchronously.
-    virtual void read(registry_topic topic, read_consistency consistency, duration answer_timeout,
-                      done_handler done) = 0;
+    /// Reads all items of the topic. Fails with `unreachable` if a time limit is exceeded. `done`
+    /// is called once, asynchronously.
+    virtual void read(registry_topic topic, read_consistency consistency,
+                      const request_timeouts& timeouts, done_handler done) = 0;
 
     /// Waits up to `wait` for changes of any topic that were made after the revision. Fails with
-    /// `unreachable` if no byte of an answer arrives for `wait` and `answer_timeout`, or later for
-    /// `answer_timeout`. `done` is called once, asynchronously.
-    virtual void watch(std::uint64_t after, duration wait, duration answer_timeout,
+    /// `unreachable` if a time limit is exceeded; that of the answer begins after `wait`. `done` is
+    /// called once, asynchronously.
+    virtual void watch(std::uint64_t after, duration wait, const request_timeouts& timeouts,
                        done_handler done) = 0;
 };
 
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -1,6 +1,7 @@
 // Schedule for reading and watching the registry.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -59,6 +60,9 @@
     duration coalescing_delay{0};
     /// Wait of the watch that follows this delay; `watch_wait` if it is not set.
     std::optional<duration> watch_wait_after_changes;
+    /// Upper bound on the time to establish a connection. An attempt that began while the node was
+    /// cut off must end soon, since the next one shows that the way is back.
+    duration max_connect_timeout = duration::max();
 
     friend bool operator==(const registry_timing&, const registry_timing&) = default;
 };
@@ -91,6 +95,14 @@
 registry_timing registry_timing_for(const registry_bounds& bounds, bool is_settling,
                                     reading_role role = reading_role::for_itself);
 
+/// Returns for how long an entry that is missing from the registry is held, once that answers
+/// again. Targets may need this time to renew entries that expired during an outage.
+///
+/// An instance that has left is missing as well, and its removal is bound like any other from the
+/// stable window after the end of the outage. The node knows no more of that end than that it was
+/// after the start of the last request that failed, `since_failure` ago.
+duration hold_time_for(const registry_bounds& bounds, duration since_failure);
+
 using registry_step = std::variant<read_registry, watch_registry, delay_next_request>;
 
 /// Determines the next request to the registry: a full read, then successive watches. A watch
@@ -99,6 +111,7 @@
 /// which a registry without new changes answers at once. Everything is read again only if the
 /// registry has dropped the changes since the revision or its answer cannot be decoded. There is an
 /// exponential backoff with jitter, so that not all nodes reconnect to a recovering store at once.
+/// It is short while no connection is established, which costs the store nothing.
 class registry_follower {
 public:
     registry_follower(std::uint64_t seed, registry_timing timing)
@@ -115,6 +128,11 @@
     /// Reports that another node has passed on all changes up to the revision.
     void record_relayed(std::uint64_t revision);
 
+    /// Time limit to establish the connection of the next request.
+    duration connect_timeout() const {
+        return std::min(answer_timeout(), timing_.max_connect_timeout);
+    }
+
     /// Reports that the last step failed.
     void record_failure(registry_error why);
 
@@ -129,6 +147,7 @@
 private:
     static constexpr duration initial_backoff = 100ms;
     static constexpr duration max_backoff = 600ms;
+    static constexpr duration max_backoff_unreachable = 300ms;
 
     duration backoff();
     duration answer_timeout() const;
@@ -139,6 +158,7 @@
     bool is_after_changes_ = false;
     std::optional<std::uint64_t> revision_;
     std::uint32_t failures_ = 0;
+    registry_error last_error_ = registry_error::unreachable;
     bool has_backed_off_ = false;
 };
 
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -35,6 +35,7 @@
     constexpr double wait_share = 0.45;
     constexpr double timeout_share = 0.13;
     constexpr double max_timeout_share = 0.4;
+    constexpr double max_connect_share = 0.25;
     constexpr double coalescing_share = 0.45;
     constexpr duration startup_coalescing_delay = 250ms;
     const auto change_bound = std::min(bounds.drain_time, bounds.config_apply_time);
@@ -43,6 +44,7 @@
     timing.watch_wait = fraction_of(recovery_bound, wait_share);
     timing.answer_timeout = fraction_of(recovery_bound, timeout_share);
     timing.max_answer_timeout = fraction_of(recovery_bound, max_timeout_share);
+    timing.max_connect_timeout = fraction_of(recovery_bound, max_connect_share);
     timing.coalescing_delay = fraction_of(change_bound, coalescing_share);
     if (role == reading_role::for_others) {
         constexpr double reader_wait_share = 0.25;
@@ -61,9 +63,18 @@
     return timing;
 }
 
+duration hold_time_for(const registry_bounds& bounds, duration since_failure) {
+    // The rest of the window is for requests that are on their way.
+    constexpr double window_share = 0.95;
+    const auto safe = fraction_of(bounds.stable_window, window_share) - since_failure;
+    return std::clamp(safe, duration{0}, instance_directory::lapse_grace);
+}
+
 duration registry_follower::backoff() {
     const auto doublings = std::min(failures_ - 1, max_doublings);
-    const auto full = std::min<duration>(initial_backoff * (1U << doublings), max_backoff);
+    const auto longest =
+        last_error_ == registry_error::unreachable ? max_backoff_unreachable : max_backoff;
+    const auto full = std::min<duration>(initial_backoff * (1U << doublings), longest);
     const auto half = full / 2;
     const auto jitter = random_.below(static_cast<std::uint64_t>(half.count()));
     return half + duration(static_cast<duration::rep>(jitter));
@@ -108,12 +119,12 @@
 void registry_follower::record_failure(registry_error why) {
     has_backed_off_ = false;
     must_delay_watch_ = false;
+    last_error_ = why;
     if (why == registry_error::history_gone || why == registry_error::bad_answer) {
         revision_.reset();
     }
-    if (why != registry_error::history_gone) {
-        ++failures_;
-    }
+    // A registry that says what it no longer has is there: the read follows at once.
+    failures_ = why == registry_error::history_gone ? 0 : failures_ + 1;
 }
 
 } // namespace trefoil
--- a/libs/proxy/src/registry_poll.cpp
+++ b/libs/proxy/src/registry_poll.cpp
@@ -55,6 +55,9 @@
 /// Longer durations are encoded as this one.
 constexpr duration max_duration = std::chrono::hours(1);
 
+/// Added to durations that must not appear shorter.
+constexpr duration rounding = 999us;
+
 std::int64_t encoded_ms(duration value) {
     return whole_ms(std::clamp(value, duration{0}, max_duration)).count();
 }
@@ -100,7 +103,6 @@
 }
 
 std::string encode_poll_answer(const registry_poll_answer& answer) {
-    constexpr duration rounding = 999us;
     return fmt::format("{} {} {} {} {}", answer.difference.revision,
                        answer.difference.is_complete ? 1 : 0, encoded_ms(answer.age + rounding),
                        encoded_ms(answer.held), answer.is_registry_lost ? 1 : 0);
@@ -126,6 +128,15 @@
     return answer;
 }
 
+std::string encode_since_failure(duration since_failure) {
+    return fmt::format("{}", encoded_ms(since_failure + rounding));
+}
+
+std::optional<duration> decode_since_failure(std::string_view text) {
+    const auto numbers = number_reader(text).all<1>();
+    return numbers ? decoded_ms(numbers->front()) : std::nullopt;
+}
+
 std::string encode_records(const std::vector<registry_record>& records) {
     if (records.empty()) {
         return {};
--- a/libs/proxy/src/registry_poll.hpp
+++ b/libs/proxy/src/registry_poll.hpp
@@ -14,6 +14,8 @@
 
 /// Header field of polls and of their answers, between proxies only.
 inline constexpr std::string_view poll_field = "trefoil-registry";
+/// Header field of answers, with the time since a failure. Nodes of former versions don't send it.
+inline constexpr std::string_view poll_failure_field = "trefoil-registry-failure";
 
 /// Asks for the changes after a revision. A node without changes answers when it next knows that
 /// there are none.
@@ -34,6 +36,9 @@
     duration held{0};
     /// True if the registry is unavailable to the answering node.
     bool is_registry_lost = false;
+    /// Time from the start of the answering node's last failed request to the registry; empty if
+    /// that is long ago or unknown.
+    std::optional<duration> since_failure;
 
     friend bool operator==(const registry_poll_answer&, const registry_poll_answer&) = default;
 };
@@ -42,11 +47,16 @@
 /// Returns nothing if the text is malformed.
 std::optional<registry_poll> decode_poll(std::string_view text);
 
-/// Encodes the answer without its records, which are the body.
+/// Encodes the answer without its records, which are the body, and without the time since a
+/// failure, which has a field of its own.
 std::string encode_poll_answer(const registry_poll_answer& answer);
 /// Returns nothing if the text is malformed. The records stay empty.
 std::optional<registry_poll_answer> decode_poll_answer(std::string_view text);
 
+std::string encode_since_failure(duration since_failure);
+/// Returns nothing if the text is malformed.
+std::optional<duration> decode_since_failure(std::string_view text);
+
 /// Encodes records as JSON; an empty text if there are none.
 std::string encode_records(const std::vector<registry_record>& records);
 /// Returns nothing if the text is malformed.
--- a/libs/proxy/src/registry_poll_server.cpp
+++ b/libs/proxy/src/registry_poll_server.cpp
@@ -44,6 +44,7 @@
     made.age = state.age;
     made.held = now - poll.arrived;
     made.is_registry_lost = state.is_registry_lost;
+    made.since_failure = state.since_failure;
     if (state.replica != nullptr) {
         const auto revision = state.replica->revision();
         const bool is_cached =
@@ -57,6 +58,10 @@
     }
     auto head = local_response(200);
     head.headers.push_back({std::string(poll_field), encode_poll_answer(made)});
+    if (made.since_failure) {
+        head.headers.push_back(
+            {std::string(poll_failure_field), encode_since_failure(*made.since_failure)});
+    }
     poll.request->respond(std::move(head), state.replica == nullptr ? "" : cached_records_);
 }
 
--- a/libs/proxy/src/registry_poll_server.hpp
+++ b/libs/proxy/src/registry_poll_server.hpp
@@ -20,6 +20,9 @@
     /// Time since the replica was last known to be current.
     duration age{0};
     bool is_registry_lost = false;
+    /// Time since the start of the last request to the registry that failed; empty if that is long
+    /// ago.
+    std::optional<duration> since_failure;
 };
 
 /// Answers polls: at once if there are changes or the poll is urgent, else when the replica is next
--- a/libs/proxy/src/registry_poller.cpp
+++ b/libs/proxy/src/registry_poller.cpp
@@ -44,8 +44,7 @@
     timer_.start(progress_timeout);
     std::visit(overloaded{[&](const http1::response_head& head) {
                               if (head.status == status_ok) {
-                                  answer_ =
-                                      decode_poll_answer(find_header(head.headers, poll_field));
+                                  read_head(head);
                               }
                           },
                           [&](const http1::body_piece& piece) {
@@ -59,6 +58,14 @@
                event);
 }
 
+void registry_poller::read_head(const http1::response_head& head) {
+    answer_ = decode_poll_answer(find_header(head.headers, poll_field));
+    if (answer_) {
+        answer_->since_failure =
+            decode_since_failure(find_header(head.headers, poll_failure_field));
+    }
+}
+
 void registry_poller::finish_response() {
     auto records = decode_records(body_);
     if (!answer_ || !records) {
--- a/libs/proxy/src/registry_poller.hpp
+++ b/libs/proxy/src/registry_poller.hpp
@@ -37,6 +37,7 @@
 
 private:
     void handle_event(http1::exchange_event event);
+    void read_head(const http1::response_head& head);
     void finish_response();
     void finish(std::optional<registry_poll_answer> answer);
 
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -37,7 +37,8 @@
       follower_(seed, registry_timing_for(bounds_of(state.settings), true)),
       sharing_({state.settings.target.ip, state.settings.domain}, seed, started_),
       poller_(state.loop), last_merge_(started_),
-      timer_(state.loop, [this] { continue_after_pause(); }) {}
+      timer_(state.loop, [this] { continue_after_pause(); }),
+      hold_timer_(state.loop, [this] { view_.drop_expired(); }) {}
 
 duration registry_sync::staleness() const {
     return sharing_.staleness(http1::boot_time());
@@ -47,7 +48,8 @@
     update_bounds();
     const auto timing = registry_timing_for(bounds_of(state_.settings), true);
     note_request("list");
-    client_.read(registry_topic::instances, read_consistency::serializable, timing.answer_timeout,
+    const request_timeouts timeouts{timing.answer_timeout, timing.answer_timeout};
+    client_.read(registry_topic::instances, read_consistency::serializable, timeouts,
                  [this](const registry_result& listed) {
                      is_requesting_ = false;
                      if (take_list(listed)) {
@@ -143,7 +145,8 @@
 
 void registry_sync::read_config(duration answer_timeout) {
     note_request("read");
-    client_.read(registry_topic::config, read_consistency::linearizable, answer_timeout,
+    client_.read(registry_topic::config, read_consistency::linearizable,
+                 {follower_.connect_timeout(), answer_timeout},
                  [this, answer_timeout](registry_result result) {
                      auto read = accept_result(std::move(result));
                      if (!read) {
@@ -157,7 +160,8 @@
 void registry_sync::read_instances(duration answer_timeout, registry_changes config) {
     const auto started = request_.started;
     note_request("read");
-    client_.read(registry_topic::instances, read_consistency::linearizable, answer_timeout,
+    client_.read(registry_topic::instances, read_consistency::linearizable,
+                 {follower_.connect_timeout(), answer_timeout},
                  [this, started, config = std::move(config)](registry_result result) {
                      auto read = accept_result(std::move(result));
                      if (read) {
@@ -177,7 +181,8 @@
 void registry_sync::watch(const watch_registry& next) {
     note_request("watch");
     const auto wait = next.wait;
-    client_.watch(next.after_revision, next.wait, next.answer_timeout,
+    client_.watch(next.after_revision, next.wait,
+                  {follower_.connect_timeout(), next.answer_timeout},
                   [this, wait](registry_result result) {
                       auto seen = accept_result(std::move(result));
                       if (seen) {
@@ -250,7 +255,7 @@
 }
 
 void registry_sync::handle_success() {
-    state_.directory.source_regained(state_.now());
+    end_outage();
     const auto failures = std::exchange(failures_, 0);
     if (!is_outage_logged_) {
         return;
@@ -264,6 +269,14 @@
     });
 }
 
+void registry_sync::end_outage() {
+    const auto hold =
+        hold_time_for(bounds_of(state_.settings), http1::boot_time() - last_failure_began_);
+    if (state_.directory.source_regained(state_.now(), hold)) {
+        hold_timer_.start(hold);
+    }
+}
+
 void registry_sync::poll() {
     const auto now = http1::boot_time();
     if (poller_.is_active()) {
@@ -286,12 +299,15 @@
 void registry_sync::handle_poll_answer(const std::string& reader, time_point sent,
                                        std::optional<registry_poll_answer> answer) {
     const auto now = http1::boot_time();
+    // The answer was made this long after the poll was sent at the earliest.
+    const auto made_at = answer ? std::min(now, sent + answer->held) : now;
+    if (answer && answer->since_failure) {
+        last_failure_began_ = std::max(last_failure_began_, made_at - *answer->since_failure);
+    }
     const bool is_usable = answer && !answer->is_registry_lost &&
                            answer->difference.revision >= view_.replica().revision();
     if (is_usable) {
         follower_.record_relayed(answer->difference.revision);
-        // The answer was made this long after the poll was sent at the earliest.
-        const auto made_at = std::min(now, sent + answer->held);
         merge(std::move(answer->difference), "poll", sent, made_at - answer->age);
     } else if (answer && answer->is_registry_lost) {
         sharing_.record_registry_lost(now, reader);
@@ -329,8 +345,11 @@
 
 replica_state registry_sync::state_for_polls() const {
     const auto now = http1::boot_time();
+    const auto since_failure = now - last_failure_began_;
     return {has_read_ ? &view_.replica() : nullptr, sharing_.staleness(now),
-            follower_.is_registry_lost() && sharing_.is_registry_lost(now)};
+            follower_.is_registry_lost() && sharing_.is_registry_lost(now),
+            since_failure < state_.settings.stable_window ? std::optional(since_failure)
+                                                          : std::nullopt};
 }
 
 void registry_sync::run_housekeeping() {
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -91,6 +91,8 @@
                time_point confirmed_at);
     void handle_failure(registry_error why);
     void handle_success();
+    /// Ends an outage: entries that are missing are held for a while from now on.
+    void end_outage();
 
     void poll();
     void handle_poll_answer(const std::string& reader, time_point sent,
@@ -122,7 +124,8 @@
     pending_request request_;
     /// Requests to the registry that have failed since the last answer.
     std::uint32_t failures_ = 0;
-    /// Start of the last request to the registry that failed.
+    /// Start of the last request to the registry that failed, of this node or of its reader: the
+    /// nodes of a domain are cut off together, and those that poll make few requests of their own.
     time_point last_failure_began_;
     registry_counts counts_;
     /// The node that was polled last, for the log.
@@ -131,6 +134,8 @@
     time_point last_merge_;
     /// Fires at the end of a pause between two steps.
     http1::loop_timer timer_;
+    /// Fires when the time to hold missing entries is over.
+    http1::loop_timer hold_timer_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/tests/fleet_site.hpp
+++ b/libs/proxy/tests/fleet_site.hpp
@@ -187,18 +187,18 @@
         return listed;
     }
 
-    void read(registry_topic topic, read_consistency consistency, duration answer_timeout,
+    void read(registry_topic topic, read_consistency consistency, const request_timeouts& timeouts,
               done_handler done) override {
         const auto mode =
             registry_.count_call(node_, consistency == read_consistency::linearizable);
-        start(mode, answer_timeout, done, [this, topic, done] { done(registry_.read(topic)); });
+        start(mode, timeouts.connect, done, [this, topic, done] { done(registry_.read(topic)); });
     }
 
-    void watch(std::uint64_t after, duration wait, duration answer_timeout,
+    void watch(std::uint64_t after, duration wait, const request_timeouts& timeouts,
                done_handler done) override {
         const auto mode = registry_.count_call(node_, true);
         if (mode != registry_mode::serving) {
-            start(mode, wait + answer_timeout, done, {});
+            start(mode, timeouts.connect, done, {});
             return;
         }
         const auto until = http1::loop_time(registry_.loop_) + wait;
@@ -206,7 +206,7 @@
                                           timer_.stop();
                                           done(std::move(result));
                                       }});
-        start(registry_mode::silent, wait + answer_timeout, done, {});
+        start(registry_mode::silent, wait + timeouts.answer, done, {});
     }
 
 private:
--- a/libs/proxy/tests/registry_follower_test.cpp
+++ b/libs/proxy/tests/registry_follower_test.cpp
@@ -147,3 +147,45 @@
         }
     }
 }
+
+TEST_CASE("a node that is cut off tries again soon enough to know when its way is back") {
+    for (const auto stable_window : {duration(2s), duration(3s), duration(4s), duration(8s)}) {
+        const registry_bounds bounds{stable_window, 2s, 2s};
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            registry_follower follower(seed, registry_timing_for(bounds, false));
+            follower.record_success(18, true);
+            for (int failure = 0; failure < 10; ++failure) {
+                follower.record_failure(registry_error::unreachable);
+                const auto pause = follower.next_step();
+                REQUIRE(std::holds_alternative<delay_next_request>(pause));
+                const auto between =
+                    std::get<delay_next_request>(pause).delay + follower.connect_timeout();
+                CHECK(between <= stable_window / 4 + 300ms);
+                follower.next_step();
+            }
+        }
+    }
+}
+
+TEST_CASE("a store that says that its history is gone is read at once, also after failures") {
+    registry_follower follower(1, timing);
+    follower.record_success(18, true);
+    for (int failure = 0; failure < 4; ++failure) {
+        follower.record_failure(registry_error::unreachable);
+    }
+    follower.record_failure(registry_error::history_gone);
+    CHECK(follower.failures() == 0);
+    CHECK(follower.next_step() == read_step);
+}
+
+TEST_CASE("a missing entry is not held past the stable window after the last failed request") {
+    for (const auto stable_window : {duration(2s), duration(3s), duration(4s), duration(8s)}) {
+        const registry_bounds bounds{stable_window, 2s, 2s};
+        for (auto since_failure = duration(0); since_failure < 10s; since_failure += 100ms) {
+            const auto hold = hold_time_for(bounds, since_failure);
+            CHECK(hold >= duration(0));
+            CHECK((hold == duration(0) || since_failure + hold < stable_window));
+        }
+    }
+    CHECK(hold_time_for({}, 500ms) == instance_directory::lapse_grace);
+}
--- a/libs/proxy/tests/registry_replica_test.cpp
+++ b/libs/proxy/tests/registry_replica_test.cpp
@@ -120,6 +120,9 @@
         CHECK_FALSE(decode_poll(text).has_value());
         CHECK_FALSE(decode_poll_answer(text).has_value());
     }
+    CHECK(decode_since_failure(encode_since_failure(1200ms)) == 1200ms);
+    CHECK_FALSE(decode_since_failure("").has_value());
+    CHECK_FALSE(decode_since_failure("1 2").has_value());
     CHECK_FALSE(decode_poll_answer("1 0 99999999999 0 0").has_value());
     for (const auto* text : {"{", "1", "[[]]", "[[1,2,3,4,5]]", R"([["a","v",-1,0,false]])"}) {
         CHECK_FALSE(decode_records(text).has_value());
--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -48,12 +48,13 @@
     std::optional<registry_change> decode(const registry_record& record) const override {
         return decoded_.at(std::stoul(record.value));
     }
-    void read(registry_topic topic, read_consistency, duration, done_handler done) override {
+    void read(registry_topic topic, read_consistency, const request_timeouts&,
+              done_handler done) override {
         pending_ = [this, topic, done] {
             done(registry_changes{encode(items[topic], 1), 1, true});
         };
     }
-    void watch(std::uint64_t, duration, duration, done_handler done) override {
+    void watch(std::uint64_t, duration, const request_timeouts&, done_handler done) override {
         watch_ = std::move(done);
     }
 
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -53,11 +53,11 @@
 /// Local copy of the registry's entries that tolerates registry outages and stale entries. While
 /// the registry is unreachable, all entries are kept. An entry that is missing shortly after the
 /// registry recovers may have expired because its target could not renew it, so it is held for a
-/// grace period and dropped only if it stays missing. An entry that is older than the latest report
+/// while and dropped only if it stays missing. An entry that is older than the latest report
 /// of its target is ignored, also after the entry was removed.
 class instance_directory {
 public:
-    /// Grace period after an outage in which targets may renew entries that expired meanwhile.
+    /// Longest time after an outage in which targets may renew entries that expired meanwhile.
     static constexpr duration lapse_grace = 1900ms;
 
     /// Replaces the contents by a complete listing and returns the changes. Entries that the
@@ -69,7 +69,7 @@
     directory_change put(listed_instance entry);
 
     /// Handles an entry that was removed from the registry or can't be read. During an outage and
-    /// the grace period after it, the entry is held unless it is draining.
+    /// the hold time after it, the entry is held unless it is draining.
     directory_change remove(time_point now, const instance_id& id);
 
     /// Records that the process of the instance that started at `started_at_ms` has said itself
@@ -78,15 +78,17 @@
     directory_change announce_leaving(time_point now, const instance_id& id,
                                       std::int64_t started_at_ms);
 
-    /// Notes the start and the end of a registry outage.
+    /// Notes the start of a registry outage.
     void source_lost();
-    void source_regained(time_point now);
+    /// Notes the end of an outage. Missing entries are held for the given time from now on. Returns
+    /// false if there was no outage.
+    bool source_regained(time_point now, duration hold_time = lapse_grace);
     /// The end of the last outage; empty if there was none or it lasts.
     std::optional<time_point> source_returned_at() const {
         return is_source_lost_ ? std::nullopt : regained_at_;
     }
 
-    /// Drops the held entries once the registry is reachable and the grace period is over, and
+    /// Drops the held entries once the registry is reachable and the hold time is over, and
     /// returns their ids.
     std::vector<instance_id> expire(time_point now);
 
@@ -163,6 +165,8 @@
     mutable bool are_indexes_current_ = true;
     bool is_source_lost_ = false;
     std::optional<time_point> regained_at_;
+    /// End of the hold time after the last outage.
+    time_point hold_until_;
 };
 
 } // namespace trefoil
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -147,15 +147,18 @@
     is_source_lost_ = true;
 }
 
-void instance_directory::source_regained(time_point now) {
-    if (is_source_lost_) {
-        is_source_lost_ = false;
-        regained_at_ = now;
+bool instance_directory::source_regained(time_point now, duration hold_time) {
+    if (!is_source_lost_) {
+        return false;
     }
+    is_source_lost_ = false;
+    regained_at_ = now;
+    hold_until_ = now + hold_time;
+    return true;
 }
 
 bool instance_directory::may_have_expired(time_point now) const {
-    return is_source_lost_ || (regained_at_ && now - *regained_at_ < lapse_grace);
+    return is_source_lost_ || now < hold_until_;
 }
 
 std::vector<instance_id> instance_directory::expire(time_point now) {
--- a/libs/traffic/tests/instance_directory_test.cpp
+++ b/libs/traffic/tests/instance_directory_test.cpp
@@ -170,3 +170,14 @@
           directory_change::none);
     CHECK(fixture.usable() == 1);
 }
+
+TEST_CASE("a missing entry is held for the time that the end of the outage allows, and no longer") {
+    directory_fixture fixture;
+    fixture.directory.put(make_instance("i"));
+    fixture.directory.source_lost();
+    CHECK(fixture.directory.source_regained(fixture.now, 700ms));
+    CHECK_FALSE(fixture.directory.source_regained(fixture.now + 500ms, 700ms));
+    CHECK(fixture.directory.remove(fixture.now, instance_id("i")) == directory_change::held);
+    CHECK(fixture.directory.expire(fixture.now + 699ms).empty());
+    CHECK(fixture.directory.expire(fixture.now + 700ms) == std::vector{instance_id("i")});
+}
