Keep requests from a target that leaves also while they wait at its gate, or once it is gone

The proxy beside a target looked at its own entry when the head of a request arrived.

Now the dispatcher, through which all requests to the target pass, refuses those for an instance that leaves or is no longer listed, and those for it that wait. The request names its instance: one for the next process at the address passes.

--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -61,12 +61,22 @@
     if (change != directory_change::draining) {
         return;
     }
+    update_gate();
     add_log_record(log_class::state_change, [&] {
         return log_record{log_event::instance_leaving,
                           {{"instance", instance.str()}, {"cause", "announced"}}};
     });
 }
 
+void proxy_state::update_gate() {
+    const auto* listed = directory.at_address(settings.target);
+    if (listed != nullptr) {
+        local_instance = listed->id;
+    }
+    const bool may_start = listed != nullptr && listed->state == listed_state::ready;
+    dispatcher.set_leaving_instance(may_start ? std::nullopt : local_instance);
+}
+
 void proxy_state::broadcast_crash(const crash_notice& notice) {
     add_log_record(log_class::state_change, [&] {
         return log_record{log_event::target_down,
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <trefoil/base/log_queue.hpp>
@@ -51,6 +52,9 @@
     /// Sends no more requests to the process of the instance that started at `started_at_ms`.
     void set_leaving(const instance_id& instance, std::int64_t started_at_ms);
 
+    /// Tells the gate whether the process of the local target leaves or is no longer listed.
+    void update_gate();
+
     /// Sends the requests that were running when the local target crashed to every other node.
     void broadcast_crash(const crash_notice& notice);
 
@@ -69,6 +73,8 @@
     crash_detector crashes;
     target_dispatcher dispatcher;
     target_announcement logged_announcement;
+    /// The instance at the local target's address as last listed; empty before the first.
+    std::optional<instance_id> local_instance;
     random_source random;
     /// Crash notices in flight, by number.
     std::map<std::uint64_t, std::unique_ptr<http1::exchange>> pending_notices;
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -110,6 +110,7 @@
                                {"back_ms", ms_text(now - returned_at.value_or(now))}}};
         });
     }
+    state_.update_gate();
 }
 
 void registry_view::log_directory_change(const instance_id& id, directory_change change,
@@ -134,6 +135,7 @@
 }
 
 void registry_view::update_local_target() {
+    state_.update_gate();
     const auto* local_entry = state_.directory.at_address(state_.settings.target);
     if (local_entry == nullptr) {
         return;
--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -139,6 +139,7 @@
     }
 
     const run_terms& terms() const { return request_.terms; }
+    const http1::request_head& head() const { return request_.head; }
 
     void report_call_result(downstream_state downstream) {
         if (downstream <= downstream_) {
@@ -272,6 +273,9 @@
     const auto position = position_of(request.terms);
     const auto& terms = request.terms;
     const auto fingerprint = fingerprint_of(fields_, request);
+    if (is_for_leaving_instance(request.head)) {
+        return refused(refusal::leaving, position);
+    }
     if (crashes_.is_blocked(fingerprint)) {
         return refused(refusal::quarantined, position);
     }
@@ -341,6 +345,24 @@
     arm_timer();
 }
 
+void target_dispatcher::set_leaving_instance(std::optional<instance_id> instance) {
+    if (instance == leaving_instance_) {
+        return;
+    }
+    leaving_instance_ = std::move(instance);
+    for (const auto& [call, waiting] : runs_) {
+        if (is_for_leaving_instance(waiting->head()) && admission_.withdraw(call)) {
+            pending_refusals_.push_back({call, refusal::leaving});
+        }
+    }
+    arm_timer();
+}
+
+bool target_dispatcher::is_for_leaving_instance(const http1::request_head& head) const {
+    return leaving_instance_ &&
+           find_header(head.headers, fields_.expected_instance) == leaving_instance_->str();
+}
+
 void target_dispatcher::notify_refused() {
     const auto refused = std::exchange(pending_refusals_, {});
     for (const auto& entry : refused) {
--- a/libs/proxy/src/target_dispatcher.hpp
+++ b/libs/proxy/src/target_dispatcher.hpp
@@ -66,6 +66,10 @@
     /// previous process has announced no longer holds.
     void target_restarted();
 
+    /// Refuses the waiting and all later requests that are meant for this instance, since it leaves
+    /// or is no longer listed; empty if there is none. Running requests go on.
+    void set_leaving_instance(std::optional<instance_id> instance);
+
     /// What the target has announced in its answers.
     const target_announcement& announcement() const { return announcement_; }
 
@@ -93,6 +97,7 @@
     /// from the event loop, because a handler may end other runs, including the one being
     /// submitted just then.
     void advance();
+    bool is_for_leaving_instance(const http1::request_head& head) const;
     /// Calls the handlers of refused runs.
     void notify_refused();
     /// Removes a queued or running request whose owner has destroyed it. `since` is the start time
@@ -114,6 +119,7 @@
     announcement_handler on_announcement_;
     target_announcement announcement_;
     bool has_answered_ = false;
+    std::optional<instance_id> leaving_instance_;
     http1::client client_;
     admission admission_;
     downstream_limiter downstream_limiter_;
--- a/libs/proxy/tests/target_leaving_test.cpp
+++ b/libs/proxy/tests/target_leaving_test.cpp
@@ -74,3 +74,34 @@
     CHECK(site.ask("/read/2").status == 200);
     CHECK(site.reached(0) == 2);
 }
+
+TEST_CASE(
+    "a request that waits at the gate is not sent to a target that starts to leave meanwhile") {
+    two_machine_site site(1);
+    site.change({instance_removed{instance_id("i1")}});
+    reply running;
+    site.send(running, "/read/hang");
+    REQUIRE(site.run_until([&] { return site.reached(0) == 1; }));
+    reply waiting;
+    site.send(waiting, "/read/2");
+    site.change({site.instance(0, listed_state::draining)});
+    site.targets[0]->requests[0]->respond({.status = 200, .reason = "-"}, "");
+    REQUIRE(site.run_until([&] { return waiting.is_finished; }));
+    CHECK(site.reached(0) == 1);
+    CHECK(waiting.status == 503);
+}
+
+TEST_CASE("a proxy refuses others' requests to its target once that is no longer listed") {
+    two_machine_site site;
+    site.change({instance_removed{instance_id("i1")}}, 1);
+    site.change({instance_removed{instance_id("i0")}}, 0);
+    CHECK(site.ask("/read/1", {}, 1).status == 503);
+    CHECK(site.reached(0) == 0);
+    auto next = site.instance(0);
+    next.id = instance_id("next");
+    next.registry_revision = 1;
+    site.change({next}, 1);
+    // The proxy beside the target has not heard of its next process yet.
+    CHECK(site.ask("/read/2", {}, 1).status == 200);
+    CHECK(site.reached(0) == 1);
+}
