--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -32,6 +32,7 @@
     registry_read_again = 2011,
     registry_reader_changed = 2012,
     registry_records_ignored = 2013,
+    registry_era_changed = 2014,
     target_down = 3001,
     target_up = 3002,
     level_raised = 3003,
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -35,6 +35,7 @@
         {log_event::registry_read_again, "registry_read_again"},
         {log_event::registry_reader_changed, "registry_reader_changed"},
         {log_event::registry_records_ignored, "registry_records_ignored"},
+        {log_event::registry_era_changed, "registry_era_changed"},
         {log_event::target_down, "target_down"},
         {log_event::target_up, "target_up"},
         {log_event::level_raised, "level_raised"},
--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -64,6 +64,9 @@
     /// True if the answer contained any event, including events of unrelated keys. An empty answer
     /// does not show whether a watch has missed changes.
     bool has_events = false;
+    /// Era of the registry that gave the answer; 0 if unknown. It rises when the registry comes
+    /// back from an older copy: its revisions go back then and are given out again.
+    std::uint64_t era = 0;
 
     friend bool operator==(const registry_changes&, const registry_changes&) = default;
 };
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -205,7 +205,24 @@
         handle_failure(*why);
         return std::nullopt;
     }
-    return std::move(std::get<registry_changes>(result));
+    auto changes = std::move(std::get<registry_changes>(result));
+    log_era(changes);
+    return changes;
+}
+
+void registry_sync::log_era(const registry_changes& changes) {
+    const auto before = std::exchange(logged_era_, changes.era);
+    if (before == changes.era) {
+        return;
+    }
+    state_.add_log_record(log_class::state_change, [&] {
+        return log_record{log_event::registry_era_changed,
+                          {{"era", std::to_string(changes.era)},
+                           {"before", std::to_string(before)},
+                           {"revision", std::to_string(changes.revision)},
+                           {"known_revision", std::to_string(view_.replica().revision())},
+                           {"call", std::string(request_.call)}}};
+    });
 }
 
 void registry_sync::merge(registry_difference difference, std::string_view call, time_point started,
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -86,6 +86,8 @@
     void note_request(std::string_view call);
     /// Returns the records of a result. An error is reported to the follower and yields nothing.
     std::optional<registry_changes> accept_result(registry_result result);
+    /// Logs that the registry answers from another era than before.
+    void log_era(const registry_changes& changes);
     /// Merges a difference that was current at the given time.
     void merge(registry_difference difference, std::string_view call, time_point started,
                time_point confirmed_at);
@@ -128,6 +130,8 @@
     /// nodes of a domain are cut off together, and those that poll make few requests of their own.
     time_point last_failure_began_;
     registry_counts counts_;
+    /// Era of the registry's last answer, for the log.
+    std::uint64_t logged_era_ = 0;
     /// The node that was polled last, for the log.
     std::string logged_reader_;
     /// Time of the last merge, for the log.
