--- a/libs/proxy/tests/fleet_site.hpp
+++ b/libs/proxy/tests/fleet_site.hpp
@@ -51,6 +51,27 @@
         history_.push_back({instance_key(node), {}, revision_, 0, true});
     }
 
+    /// What the registry holds.
+    struct copy {
+        std::map<std::string, registry_record> items;
+        std::vector<registry_record> history;
+        std::uint64_t revision = 0;
+        std::uint64_t oldest_revision = 0;
+    };
+
+    copy make_copy() const { return {items_, history_, revision_, oldest_revision_}; }
+
+    /// Goes back to an older copy: revisions since then are given out again, in a new era.
+    void restore(const copy& older) {
+        items_ = older.items;
+        history_ = older.history;
+        revision_ = older.revision;
+        oldest_revision_ = older.oldest_revision;
+        ++era_;
+    }
+
+    std::uint64_t revision() const { return revision_; }
+
     /// Watches from a revision before the present one fail from now on.
     void forget_history() {
         history_.clear();
@@ -99,7 +120,7 @@
     }
 
     registry_changes read(registry_topic topic) const {
-        registry_changes all{{}, revision_, true};
+        registry_changes all{{}, revision_, true, era_};
         for (const auto& [key, record] : items_) {
             if ((key == "config") == (topic == registry_topic::config)) {
                 all.records.push_back(record);
@@ -109,10 +130,10 @@
     }
 
     registry_result changes_after(std::uint64_t revision) const {
-        if (revision < oldest_revision_) {
+        if (revision < oldest_revision_ || revision > revision_) {
             return registry_error::history_gone;
         }
-        registry_changes changes{{}, revision_, false};
+        registry_changes changes{{}, revision_, false, era_};
         for (const auto& record : history_) {
             if (record.revision > revision) {
                 changes.records.push_back(record);
@@ -144,6 +165,7 @@
     std::vector<registry_record> history_;
     std::uint64_t revision_ = 0;
     std::uint64_t oldest_revision_ = 0;
+    std::uint64_t era_ = 1;
     std::map<std::size_t, registry_mode> modes_;
     std::map<std::size_t, std::size_t> calls_by_node_;
     std::size_t calls_ = 0;
@@ -184,6 +206,7 @@
         listed.service = service;
         listed.target = {ip_of(number), 9};
         listed.domain = domain_name("a");
+        listed.registry_revision = record.created;
         return listed;
     }
 
