Order what the store publishes by era, then revision

Cause: revisions were taken for an order that holds for ever. The replica kept the record with the higher revision, the follower watched from the highest one, polls were answered and used by revision alone, and of two entries at one address the one created later counted. Class: a counter of another component compared beyond the life in which it counts.

Change: the position is (era, revision) in the replica, the follower, polls and their answers, and the directory. A newer era replaces what is known as a whole, an older one changes nothing, whoever tells. The version in force stays and is passed on; missing entries are held, removed ones are not taken back from the copy. The sign is the era of each answer, not a 410. Why it works: nothing of two eras is compared by revision any more.

--- a/libs/proxy/include/trefoil/proxy/registry.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry.hpp
@@ -1,6 +1,7 @@
 // Interface to the platform's store of configuration and instances.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,6 +57,16 @@
     friend bool operator==(const registry_record&, const registry_record&) = default;
 };
 
+/// Place in the history of the registry. When it comes back from an older copy, its era rises, and
+/// the revisions since the copy are given out again.
+struct registry_position {
+    /// 0 if the registry doesn't name its era.
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    friend auto operator<=>(const registry_position&, const registry_position&) = default;
+};
+
 /// Changes in the order in which they were made. The result of a full read contains all items.
 struct registry_changes {
     std::vector<registry_record> records;
@@ -64,8 +75,7 @@
     /// True if the answer contained any event, including events of unrelated keys. An empty answer
     /// does not show whether a watch has missed changes.
     bool has_events = false;
-    /// Era of the registry that gave the answer; 0 if unknown. It rises when the registry comes
-    /// back from an older copy: its revisions go back then and are given out again.
+    /// Era of the registry that gave the answer; 0 if unknown.
     std::uint64_t era = 0;
 
     friend bool operator==(const registry_changes&, const registry_changes&) = default;
@@ -86,6 +96,8 @@
     history_gone,
     /// The response cannot be decoded.
     bad_answer,
+    /// The response is from an older era than what is known, or its parts are from several.
+    outdated,
 };
 
 std::string_view name_of(registry_error problem);
--- a/libs/proxy/include/trefoil/proxy/registry_follower.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_follower.hpp
@@ -128,6 +128,10 @@
     /// Reports that another node has passed on all changes up to the revision.
     void record_relayed(std::uint64_t revision);
 
+    /// Reports that the registry has come back from an older copy. All changes up to the revision
+    /// are known; if it is empty, everything has to be read.
+    void begin_era(std::optional<std::uint64_t> revision);
+
     /// Time limit to establish the connection of the next request.
     duration connect_timeout() const {
         return std::min(answer_timeout(), timing_.max_connect_timeout);
--- a/libs/proxy/include/trefoil/proxy/registry_replica.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_replica.hpp
@@ -13,13 +13,17 @@
 
 namespace trefoil {
 
-/// What another node lacks.
+/// What another node lacks. Between two eras, a difference that is not complete leads from exactly
+/// the position that the other node has named.
 struct registry_difference {
     /// True if the records are everything that is published, so that what they lack was removed.
     bool is_complete = false;
     std::vector<registry_record> records;
     /// The copy's revision: the difference leads to it.
     std::uint64_t revision = 0;
+    std::uint64_t era = 0;
+
+    registry_position position() const { return {era, revision}; }
 
     friend bool operator==(const registry_difference&, const registry_difference&) = default;
 };
@@ -27,6 +31,9 @@
 /// Copy of the published records. It merges what several sources send, the registry and other
 /// nodes, in any order: of two records with one key it keeps the one with the higher revision. It
 /// also keeps the latest changes, and returns everything to nodes that lack older ones.
+///
+/// Revisions are compared within an era only. The copy takes over a newer era as a whole and then
+/// ignores what comes from an older one.
 class registry_replica {
 public:
     /// Maximum number of changes that are kept.
@@ -41,17 +48,27 @@
     std::vector<registry_record> merge_all(std::vector<registry_record> all,
                                            std::uint64_t revision);
 
-    /// Merges a difference that another node has sent.
+    /// Merges a difference. Returns what was not known. One of an older era changes nothing. One of
+    /// a newer era has to be complete, or to lead from the copy's position.
     std::vector<registry_record> merge(registry_difference difference);
 
+    /// Passes on this record from now on in place of the published one with its key, which is older
+    /// than what is in force.
+    void keep(const registry_record& in_force);
+
     /// Highest revision that the copy contains; 0 if it is empty.
     std::uint64_t revision() const { return revision_; }
+    registry_position position() const { return {era_, revision_}; }
 
     /// Number of merged records so far that were older than what was known of their key.
     std::size_t ignored_records() const { return ignored_records_; }
 
     /// Returns what a node lacks that is at the given revision; nothing if it lacks nothing.
-    registry_difference changes_since(std::uint64_t revision) const;
+    registry_difference changes_since(const registry_position& from) const;
+    /// The same for a node that is in the copy's era.
+    registry_difference changes_since(std::uint64_t revision) const {
+        return changes_since(registry_position{era_, revision});
+    }
 
 private:
     /// Revision of the last known change or removal of the key; 0 if there is none.
@@ -60,6 +77,11 @@
     /// `forgotten` and the key has no record. Counts those that are older.
     bool is_known(const registry_record& change, std::uint64_t forgotten);
     void store(const registry_record& record);
+    /// Takes over a newer era. Returns what differs from the records before.
+    std::vector<registry_record> begin_era(registry_difference difference);
+    registry_difference everything() const;
+    /// The changes after the revision; all of them have to be kept.
+    registry_difference kept_changes_since(std::uint64_t revision) const;
     /// Drops the changes up to the revision, which all records contain.
     void forget_changes(std::uint64_t revision);
 
@@ -68,7 +90,14 @@
     std::unordered_map<std::string, std::uint64_t> removals_;
     /// The latest changes, by ascending revision.
     std::deque<registry_record> changes_;
+    std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
+    /// The position before the present era, and what differed from there when it began: for nodes
+    /// that are still at that position.
+    registry_position former_position_;
+    std::vector<registry_record> era_changes_;
+    /// Revision at which the present era was taken over.
+    std::uint64_t first_revision_ = 0;
     std::size_t ignored_records_ = 0;
     /// All changes after this revision are kept.
     std::uint64_t oldest_revision_ = 0;
--- a/libs/proxy/src/registry_follower.cpp
+++ b/libs/proxy/src/registry_follower.cpp
@@ -26,6 +26,8 @@
         return "history_gone";
     case registry_error::bad_answer:
         return "bad_answer";
+    case registry_error::outdated:
+        return "outdated";
     }
     return "unknown";
 }
@@ -116,11 +118,22 @@
     revision_ = std::max(revision_.value_or(0), revision);
 }
 
+void registry_follower::begin_era(std::optional<std::uint64_t> revision) {
+    revision_ = revision;
+    failures_ = 0;
+    has_backed_off_ = false;
+    must_delay_watch_ = false;
+    is_after_changes_ = false;
+}
+
 void registry_follower::record_failure(registry_error why) {
     has_backed_off_ = false;
     must_delay_watch_ = false;
     last_error_ = why;
-    if (why == registry_error::history_gone || why == registry_error::bad_answer) {
+    const bool must_read_again = why == registry_error::history_gone ||
+                                 why == registry_error::bad_answer ||
+                                 why == registry_error::outdated;
+    if (must_read_again) {
         revision_.reset();
     }
     // A registry that says what it no longer has is there: the read follows at once.
--- a/libs/proxy/src/registry_poll.cpp
+++ b/libs/proxy/src/registry_poll.cpp
@@ -128,6 +128,15 @@
     return answer;
 }
 
+std::string encode_era(std::uint64_t era) {
+    return fmt::format("{}", era);
+}
+
+std::uint64_t decode_era(std::string_view text) {
+    const auto numbers = number_reader(text).all<1>();
+    return numbers ? numbers->front() : 0;
+}
+
 std::string encode_since_failure(duration since_failure) {
     return fmt::format("{}", encoded_ms(since_failure + rounding));
 }
--- a/libs/proxy/src/registry_poll.hpp
+++ b/libs/proxy/src/registry_poll.hpp
@@ -14,6 +14,9 @@
 
 /// Header field of polls and of their answers, between proxies only.
 inline constexpr std::string_view poll_field = "trefoil-registry";
+/// Header field of polls and of their answers, with the era of the revisions. Nodes of former
+/// versions don't send it.
+inline constexpr std::string_view poll_era_field = "trefoil-registry-era";
 /// Header field of answers, with the time since a failure. Nodes of former versions don't send it.
 inline constexpr std::string_view poll_failure_field = "trefoil-registry-failure";
 
@@ -23,6 +26,8 @@
     std::uint64_t after_revision = 0;
     /// True if the node is to answer with what it knows now.
     bool is_urgent = false;
+    /// Era of the revision; 0 if it is unknown.
+    std::uint64_t era = 0;
 
     friend bool operator==(const registry_poll&, const registry_poll&) = default;
 };
@@ -43,16 +48,21 @@
     friend bool operator==(const registry_poll_answer&, const registry_poll_answer&) = default;
 };
 
+/// Encodes the poll without its era, which has a field of its own.
 std::string encode_poll(const registry_poll& poll);
 /// Returns nothing if the text is malformed.
 std::optional<registry_poll> decode_poll(std::string_view text);
 
-/// Encodes the answer without its records, which are the body, and without the time since a
-/// failure, which has a field of its own.
+/// Encodes the answer without its records, which are the body, and without the era and the time
+/// since a failure, which have fields of their own.
 std::string encode_poll_answer(const registry_poll_answer& answer);
 /// Returns nothing if the text is malformed. The records stay empty.
 std::optional<registry_poll_answer> decode_poll_answer(std::string_view text);
 
+std::string encode_era(std::uint64_t era);
+/// Returns 0, which stands for an unknown era, if the text is malformed.
+std::uint64_t decode_era(std::string_view text);
+
 std::string encode_since_failure(duration since_failure);
 /// Returns nothing if the text is malformed.
 std::optional<duration> decode_since_failure(std::string_view text);
--- a/libs/proxy/src/registry_poll_server.hpp
+++ b/libs/proxy/src/registry_poll_server.hpp
@@ -53,7 +53,7 @@
     bool is_closed_ = false;
     /// Records of the last answer, which many nodes ask for alike.
     registry_difference cached_difference_;
-    std::optional<std::uint64_t> cached_after_;
+    std::optional<registry_position> cached_after_;
     std::string cached_records_;
 };
 
--- a/libs/proxy/src/registry_poller.cpp
+++ b/libs/proxy/src/registry_poller.cpp
@@ -28,7 +28,8 @@
     http1::request_head head;
     head.method = "GET";
     head.target = "/";
-    head.headers = {{std::string(poll_field), encode_poll(poll)}};
+    head.headers = {{std::string(poll_field), encode_poll(poll)},
+                    {std::string(poll_era_field), encode_era(poll.era)}};
     http1::exchange_options options;
     options.connect_timeout = whole_ms(timeout);
     if (poll.is_urgent) {
@@ -61,6 +62,7 @@
 void registry_poller::read_head(const http1::response_head& head) {
     answer_ = decode_poll_answer(find_header(head.headers, poll_field));
     if (answer_) {
+        answer_->difference.era = decode_era(find_header(head.headers, poll_era_field));
         answer_->since_failure =
             decode_since_failure(find_header(head.headers, poll_failure_field));
     }
--- a/libs/proxy/src/registry_replica.cpp
+++ b/libs/proxy/src/registry_replica.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace trefoil {
 
@@ -89,27 +90,96 @@
 }
 
 std::vector<registry_record> registry_replica::merge(registry_difference difference) {
+    if (difference.era < era_) {
+        ignored_records_ += difference.records.size();
+        return {};
+    }
+    if (difference.era > era_) {
+        return begin_era(std::move(difference));
+    }
     return difference.is_complete
                ? merge_all(std::move(difference.records), difference.revision)
                : merge_changes(std::move(difference.records), difference.revision);
 }
 
-registry_difference registry_replica::changes_since(std::uint64_t revision) const {
-    registry_difference difference;
-    difference.revision = revision_;
-    if (revision >= revision_) {
-        return difference;
-    }
-    if (revision < oldest_revision_) {
-        difference.is_complete = true;
-        for (const auto& [key, record] : records_) {
-            difference.records.push_back(record);
+std::vector<registry_record> registry_replica::begin_era(registry_difference difference) {
+    former_position_ = position();
+    auto former = records_;
+    if (difference.is_complete) {
+        records_.clear();
+    }
+    std::vector<registry_record> changes;
+    for (auto& record : difference.records) {
+        store(record);
+        const auto known = former.find(record.key);
+        const bool is_same = known != former.end() && !record.is_removal &&
+                             known->second.value == record.value &&
+                             known->second.created == record.created;
+        if (known != former.end()) {
+            former.erase(known);
+        }
+        if (!is_same) {
+            changes.push_back(std::move(record));
+        }
+    }
+    if (difference.is_complete) {
+        for (const auto& [key, record] : former) {
+            changes.push_back({key, {}, difference.revision, 0, true});
         }
-        return difference;
     }
+    // Records that the difference doesn't name keep their content, not the revisions of before.
+    for (auto& [key, record] : records_) {
+        record.revision = std::min(record.revision, difference.revision);
+    }
+    removals_.clear();
+    changes_.clear();
+    era_ = difference.era;
+    revision_ = difference.revision;
+    first_revision_ = difference.revision;
+    oldest_revision_ = difference.revision;
+    era_changes_ = changes;
+    return changes;
+}
+
+void registry_replica::keep(const registry_record& in_force) {
+    const auto found = records_.find(in_force.key);
+    if (found != records_.end()) {
+        found->second.value = in_force.value;
+    }
+    const auto has_key = [&](const registry_record& record) { return record.key == in_force.key; };
+    std::erase_if(era_changes_, has_key);
+    std::erase_if(changes_, has_key);
+}
+
+registry_difference registry_replica::everything() const {
+    registry_difference difference{true, {}, revision_, era_};
+    for (const auto& [key, record] : records_) {
+        difference.records.push_back(record);
+    }
+    return difference;
+}
+
+registry_difference registry_replica::kept_changes_since(std::uint64_t revision) const {
+    registry_difference difference{false, {}, revision_, era_};
     std::copy_if(changes_.begin(), changes_.end(), std::back_inserter(difference.records),
                  [&](const registry_record& change) { return change.revision > revision; });
     return difference;
 }
 
+registry_difference registry_replica::changes_since(const registry_position& from) const {
+    if (from >= position()) {
+        return {false, {}, revision_, era_};
+    }
+    if (from.era == era_) {
+        return from.revision < oldest_revision_ ? everything() : kept_changes_since(from.revision);
+    }
+    const bool are_all_kept = oldest_revision_ == first_revision_;
+    if (from != former_position_ || !are_all_kept) {
+        return everything();
+    }
+    auto difference = kept_changes_since(first_revision_);
+    difference.records.insert(difference.records.begin(), era_changes_.begin(), era_changes_.end());
+    return difference;
+}
+
 } // namespace trefoil
--- a/libs/proxy/src/registry_sync.cpp
+++ b/libs/proxy/src/registry_sync.cpp
@@ -160,38 +160,45 @@
 void registry_sync::read_instances(duration answer_timeout, registry_changes config) {
     const auto started = request_.started;
     note_request("read");
-    client_.read(registry_topic::instances, read_consistency::linearizable,
-                 {follower_.connect_timeout(), answer_timeout},
-                 [this, started, config = std::move(config)](registry_result result) {
-                     auto read = accept_result(std::move(result));
-                     if (read) {
-                         // The configuration is watched from the revision of its own read, which
-                         // came first.
-                         const auto revision = std::min(config.revision, read->revision);
-                         follower_.record_success(revision, true);
-                         auto records = std::move(read->records);
-                         records.insert(records.end(), config.records.begin(),
-                                        config.records.end());
-                         merge({true, std::move(records), revision}, "read", started, started);
-                     }
-                     step();
-                 });
+    client_.read(
+        registry_topic::instances, read_consistency::linearizable,
+        {follower_.connect_timeout(), answer_timeout},
+        [this, started, config = std::move(config)](registry_result result) {
+            auto read = accept_result(std::move(result));
+            if (read && read->era != config.era) {
+                // The registry came back from a copy between the two reads.
+                begin_era();
+            } else if (read) {
+                // The configuration is watched from the revision of its own read, which
+                // came first.
+                const auto revision = std::min(config.revision, read->revision);
+                follower_.record_success(revision, true);
+                auto records = std::move(read->records);
+                records.insert(records.end(), config.records.begin(), config.records.end());
+                merge({true, std::move(records), revision, read->era}, "read", started, started);
+            }
+            step();
+        });
 }
 
 void registry_sync::watch(const watch_registry& next) {
     note_request("watch");
     const auto wait = next.wait;
+    const auto era = view_.replica().position().era;
     client_.watch(next.after_revision, next.wait,
                   {follower_.connect_timeout(), next.answer_timeout},
-                  [this, wait](registry_result result) {
+                  [this, wait, era](registry_result result) {
                       auto seen = accept_result(std::move(result));
-                      if (seen) {
+                      const auto known_era = view_.replica().position().era;
+                      if (seen && seen->era > known_era) {
+                          begin_era();
+                      } else if (seen && era == known_era) {
                           follower_.record_success(seen->revision, seen->has_events);
                           const auto confirmed_at =
                               seen->has_events ? request_.started
                                                : time_of_empty_answer(request_.started, wait);
                           const auto revision = seen->has_events ? seen->revision : 0;
-                          merge({false, std::move(seen->records), revision}, "watch",
+                          merge({false, std::move(seen->records), revision, era}, "watch",
                                 request_.started, confirmed_at);
                       }
                       step();
@@ -206,10 +213,26 @@
         return std::nullopt;
     }
     auto changes = std::move(std::get<registry_changes>(result));
+    const auto known_era = view_.replica().position().era;
+    if (changes.era == 0) {
+        changes.era = known_era;
+    }
+    if (changes.era < known_era) {
+        follower_.record_failure(registry_error::outdated);
+        handle_failure(registry_error::outdated);
+        return std::nullopt;
+    }
     log_era(changes);
     return changes;
 }
 
+void registry_sync::begin_era() {
+    follower_.begin_era(std::nullopt);
+    state_.add_log_record(log_class::state_change, [&] {
+        return log_record{log_event::registry_read_again, {{"cause", "era"}}};
+    });
+}
+
 void registry_sync::log_era(const registry_changes& changes) {
     const auto before = std::exchange(logged_era_, changes.era);
     if (before == changes.era) {
@@ -229,6 +252,10 @@
                           time_point confirmed_at) {
     const auto now = http1::boot_time();
     const bool has_changes = difference.is_complete || !difference.records.empty();
+    if (has_read_ && difference.era > view_.replica().position().era) {
+        // What the copy lacks is written again within a while.
+        state_.directory.source_lost();
+    }
     handle_success();
     view_.merge(std::move(difference), {call, now - started, now - last_merge_});
     last_merge_ = now;
@@ -287,8 +314,11 @@
 }
 
 void registry_sync::end_outage() {
+    // The outage did not end before the last time at which the registry was known to answer, nor
+    // before the last failure.
+    const auto since_failure = http1::boot_time() - last_failure_began_;
     const auto hold =
-        hold_time_for(bounds_of(state_.settings), http1::boot_time() - last_failure_began_);
+        hold_time_for(bounds_of(state_.settings), std::min(since_failure, staleness()));
     if (state_.directory.source_regained(state_.now(), hold)) {
         hold_timer_.start(hold);
     }
@@ -305,27 +335,32 @@
     }
     log_reader(*reader);
     ++counts_.polls_sent;
+    const auto after = view_.replica().position();
     const bool is_urgent = sharing_.staleness(now) >= sharing_.timing().switch_reader_after;
     poller_.start({*reader, state_.settings.peer_listener.port},
-                  {view_.replica().revision(), is_urgent}, sharing_.poll_timeout(now),
-                  [this, reader = *reader, now](std::optional<registry_poll_answer> answer) {
-                      handle_poll_answer(reader, now, std::move(answer));
+                  {after.revision, is_urgent, after.era}, sharing_.poll_timeout(now),
+                  [this, reader = *reader, now, after](std::optional<registry_poll_answer> answer) {
+                      handle_poll_answer(reader, {now, after}, std::move(answer));
                   });
 }
 
-void registry_sync::handle_poll_answer(const std::string& reader, time_point sent,
+void registry_sync::handle_poll_answer(const std::string& reader, const sent_poll& poll_sent,
                                        std::optional<registry_poll_answer> answer) {
     const auto now = http1::boot_time();
     // The answer was made this long after the poll was sent at the earliest.
-    const auto made_at = answer ? std::min(now, sent + answer->held) : now;
+    const auto made_at = answer ? std::min(now, poll_sent.at + answer->held) : now;
     if (answer && answer->since_failure) {
         last_failure_began_ = std::max(last_failure_began_, made_at - *answer->since_failure);
     }
-    const bool is_usable = answer && !answer->is_registry_lost &&
-                           answer->difference.revision >= view_.replica().revision();
+    const bool is_usable =
+        answer && !answer->is_registry_lost && is_mergeable(answer->difference, poll_sent.after);
     if (is_usable) {
-        follower_.record_relayed(answer->difference.revision);
-        merge(std::move(answer->difference), "poll", sent, made_at - answer->age);
+        if (answer->difference.era > view_.replica().position().era) {
+            follower_.begin_era(answer->difference.revision);
+        } else {
+            follower_.record_relayed(answer->difference.revision);
+        }
+        merge(std::move(answer->difference), "poll", poll_sent.at, made_at - answer->age);
     } else if (answer && answer->is_registry_lost) {
         sharing_.record_registry_lost(now, reader);
     }
@@ -337,6 +372,14 @@
     poll();
 }
 
+bool registry_sync::is_mergeable(const registry_difference& difference,
+                                 const registry_position& polled_from) const {
+    const auto known = view_.replica().position();
+    const bool follows =
+        difference.era == known.era || difference.is_complete || polled_from == known;
+    return follows && difference.position() >= known;
+}
+
 void registry_sync::log_reader(const std::string& reader) {
     if (reader == logged_reader_) {
         return;
--- a/libs/proxy/src/registry_sync.hpp
+++ b/libs/proxy/src/registry_sync.hpp
@@ -70,6 +70,13 @@
         time_point started;
     };
 
+    /// A poll that has been sent.
+    struct sent_poll {
+        time_point at;
+        /// What was known then.
+        registry_position after;
+    };
+
     /// Looks up the nodes that may be polled. The list is empty for a moment if the whole fleet
     /// starts; then it is read again until it no longer grows, or until this node has to read for
     /// itself.
@@ -86,6 +93,8 @@
     void note_request(std::string_view call);
     /// Returns the records of a result. An error is reported to the follower and yields nothing.
     std::optional<registry_changes> accept_result(registry_result result);
+    /// Reads everything again, since the registry has come back from an older copy.
+    void begin_era();
     /// Logs that the registry answers from another era than before.
     void log_era(const registry_changes& changes);
     /// Merges a difference that was current at the given time.
@@ -97,8 +106,11 @@
     void end_outage();
 
     void poll();
-    void handle_poll_answer(const std::string& reader, time_point sent,
+    void handle_poll_answer(const std::string& reader, const sent_poll& poll_sent,
                             std::optional<registry_poll_answer> answer);
+    /// True if the difference follows on what is known and leads on from there.
+    bool is_mergeable(const registry_difference& difference,
+                      const registry_position& polled_from) const;
     void log_reader(const std::string& reader);
 
     void update_bounds();
--- a/libs/proxy/src/registry_view.cpp
+++ b/libs/proxy/src/registry_view.cpp
@@ -38,17 +38,19 @@
 void registry_view::apply(const std::vector<registry_record>& records) {
     for (const auto& record : records) {
         if (auto change = client_.decode(record)) {
-            apply_change(std::move(*change), record.revision);
+            apply_change(std::move(*change), record);
         }
     }
     state_.retry_limiter.set_nodes(state_.directory.size());
     update_local_target();
 }
 
-void registry_view::apply_change(registry_change change, std::uint64_t revision) {
-    std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config)); },
+void registry_view::apply_change(registry_change change, const registry_record& record) {
+    const auto revision = record.revision;
+    std::visit(overloaded{[&](traffic_config& config) { apply_config(std::move(config), record); },
                           [&](listed_instance& listed) {
                               const auto id = listed.id;
+                              listed.registry_era = replica_.position().era;
                               log_directory_change(id, state_.directory.put(listed), revision);
                           },
                           [&](const instance_removed& removed) {
@@ -68,15 +70,31 @@
                change);
 }
 
-void registry_view::apply_config(traffic_config config) {
+bool registry_view::is_newer(const traffic_config& config, const registry_record& record) const {
+    if (state_.routes == nullptr) {
+        return true;
+    }
+    const auto present = state_.routes->config().version;
+    const bool is_rewritten = config.version == present && replica_.position().era > config_era_ &&
+                              record.value != config_record_.value;
+    return config.version > present || is_rewritten;
+}
+
+void registry_view::apply_config(traffic_config config, const registry_record& record) {
     const auto version = config.version;
     const auto present = state_.routes == nullptr ? 0 : state_.routes->config().version;
-    const bool is_newer = state_.routes == nullptr || version > present;
-    if (is_newer) {
+    const bool is_put_in_force = is_newer(config, record);
+    if (is_put_in_force) {
         state_.routes = std::make_shared<const route_table>(std::move(config));
+        config_record_ = record;
+    } else if (version < present) {
+        replica_.keep(config_record_);
+    }
+    if (version >= present) {
+        config_era_ = replica_.position().era;
     }
     state_.add_log_record(log_class::state_change, [&] {
-        return log_record{is_newer ? log_event::config_in_force : log_event::config_ignored,
+        return log_record{is_put_in_force ? log_event::config_in_force : log_event::config_ignored,
                           {{"version", std::to_string(version)},
                            {"before", std::to_string(present)},
                            {"routes", std::to_string(state_.routes->config().routes.size())},
--- a/libs/proxy/src/registry_view.hpp
+++ b/libs/proxy/src/registry_view.hpp
@@ -41,9 +41,13 @@
 
 private:
     void apply(const std::vector<registry_record>& records);
-    void apply_change(registry_change change, std::uint64_t revision);
+    void apply_change(registry_change change, const registry_record& record);
     void log_ignored_records(std::size_t count);
-    void apply_config(traffic_config config);
+    void apply_config(traffic_config config, const registry_record& record);
+    /// True if the configuration replaces the one in force. A running node never goes back to a
+    /// lower version. In a newer era, the version in force may have been written again with other
+    /// content.
+    bool is_newer(const traffic_config& config, const registry_record& record) const;
     /// `revision` is that of the registry's change that caused this one.
     void log_directory_change(const instance_id& id, directory_change change,
                               std::uint64_t revision);
@@ -53,6 +57,9 @@
     const registry_client& client_;
     registry_replica replica_;
     answer_source source_;
+    /// The record of the configuration in force, and the era in which it was read.
+    registry_record config_record_;
+    std::uint64_t config_era_ = 0;
     /// The process of the local target as last listed; empty before the first.
     std::optional<std::pair<instance_id, std::int64_t>> local_process_;
 };
--- a/libs/proxy/tests/registry_replica_test.cpp
+++ b/libs/proxy/tests/registry_replica_test.cpp
@@ -132,3 +132,56 @@
 TEST_CASE("records that are nested deeply are refused without filling the memory") {
     CHECK_FALSE(decode_records(std::string(1U << 20U, '[')).has_value());
 }
+
+TEST_CASE("a newer era replaces what is known, whatever its revisions") {
+    auto replica = replica_at_10();
+    const auto changes = replica.merge({true, {put("a", 4), put("c", 6)}, 7, 1});
+    CHECK(changes == std::vector<registry_record>{put("c", 6), removal("b", 7)});
+    CHECK(replica.position() == registry_position{1, 7});
+    CHECK(replica.merge({false, {put("a", 8, "new")}, 8, 1}).size() == 1);
+    CHECK(replica.changes_since(0).records ==
+          std::vector<registry_record>{put("a", 8, "new"), put("c", 6)});
+}
+
+TEST_CASE("what comes from an older era changes nothing") {
+    auto replica = replica_at_10();
+    replica.merge({true, {put("a", 4)}, 7, 2});
+    CHECK(replica.merge({true, {put("a", 9, "old")}, 50, 1}).empty());
+    CHECK(replica.merge({false, {removal("a", 51)}, 51, 0}).empty());
+    CHECK(replica.position() == registry_position{2, 7});
+    CHECK(replica.changes_since(0).records == std::vector<registry_record>{put("a", 4)});
+}
+
+TEST_CASE("a node at the position before the era gets what differs, others get everything") {
+    auto reader = replica_at_10();
+    auto node = replica_at_10();
+    reader.merge({true, {put("a", 4), put("c", 6)}, 7, 1});
+    reader.merge({false, {put("c", 9, "new")}, 9, 1});
+    auto difference = reader.changes_since(node.position());
+    CHECK(difference ==
+          registry_difference{false, {put("c", 6), removal("b", 7), put("c", 9, "new")}, 9, 1});
+    node.merge(std::move(difference));
+    CHECK(node.position() == reader.position());
+    CHECK(node.changes_since(0).records == reader.changes_since(0).records);
+    CHECK(reader.changes_since(registry_position{0, 9}).is_complete);
+    CHECK_FALSE(reader.changes_since(registry_position{2, 1}).is_complete);
+}
+
+TEST_CASE("a node that takes over an era by its differences knows later changes of the rest") {
+    auto reader = replica_at_10();
+    auto node = replica_at_10();
+    // The copy has an older "b" than what is in force.
+    reader.merge({true, {put("a", 4), put("b", 5, "older")}, 7, 1});
+    reader.keep(put("b", 10));
+    node.merge(reader.changes_since(node.position()));
+    CHECK(node.position() == registry_position{1, 7});
+    CHECK(node.merge({false, {put("b", 8, "again")}, 8, 1}) ==
+          std::vector<registry_record>{put("b", 8, "again")});
+}
+
+TEST_CASE("the era of a poll has a field of its own, which may be missing") {
+    CHECK(decode_era(encode_era(17)) == 17);
+    CHECK(decode_era("") == 0);
+    CHECK(decode_era("1 2") == 0);
+    CHECK(decode_era("x") == 0);
+}
--- a/libs/traffic/include/trefoil/traffic/instance_directory.hpp
+++ b/libs/traffic/include/trefoil/traffic/instance_directory.hpp
@@ -27,6 +27,8 @@
     /// Number of requests that the target processes concurrently.
     std::uint32_t slots = 1;
     listed_state state = listed_state::ready;
+    /// Era of the registry in which this entry was first seen; 0 if unknown.
+    std::uint64_t registry_era = 0;
     /// Registry revision that created this entry; 0 if unknown.
     std::uint64_t registry_revision = 0;
     /// Start time of the target's process, in milliseconds of its own clock; 0 if unknown.
@@ -129,6 +131,8 @@
     struct last_report {
         std::int64_t started_at_ms = 0;
         std::uint64_t sequence = 0;
+        std::uint64_t registry_era = 0;
+        std::uint64_t registry_revision = 0;
         time_point removed_at;
     };
 
@@ -147,6 +151,8 @@
     /// True if a missing entry may have expired because of an outage of the registry.
     bool may_have_expired(time_point now) const;
     bool is_outdated(const listed_instance& listed) const;
+    /// True if the entry is the removed one, which the registry has taken from a copy of before.
+    static bool is_copy(const listed_instance& listed, const last_report& removed);
     void erase(time_point now, const instance_id& id);
     /// Sets the state of an entry to draining if its process has said that it leaves.
     void apply_announcement(listed_instance& listed);
--- a/libs/traffic/src/instance_directory.cpp
+++ b/libs/traffic/src/instance_directory.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace trefoil {
 namespace {
 
 bool is_newer(const listed_instance& left, const listed_instance& right) {
-    return std::pair(left.registry_revision, left.started_at_ms) >
-           std::pair(right.registry_revision, right.started_at_ms);
+    return std::tuple(left.registry_era, left.registry_revision, left.started_at_ms) >
+           std::tuple(right.registry_era, right.registry_revision, right.started_at_ms);
 }
 
 } // namespace
@@ -50,12 +51,22 @@
         started_at_ms = past->second.started_at_ms;
         sequence = past->second.sequence;
     }
-    return std::pair(listed.started_at_ms, listed.sequence) < std::pair(started_at_ms, sequence);
+    const std::pair reported(listed.started_at_ms, listed.sequence);
+    const std::pair last(started_at_ms, sequence);
+    const bool is_removed = present == entries_.end() && past != last_reports_.end();
+    return reported < last || (is_removed && reported == last && is_copy(listed, past->second));
+}
+
+bool instance_directory::is_copy(const listed_instance& listed, const last_report& removed) {
+    return listed.registry_era > removed.registry_era &&
+           listed.registry_revision == removed.registry_revision;
 }
 
 void instance_directory::erase(time_point now, const instance_id& id) {
     const auto found = entries_.find(id);
-    last_reports_[id] = {found->second.listed.started_at_ms, found->second.listed.sequence, now};
+    const auto& last = found->second.listed;
+    last_reports_[id] = {last.started_at_ms, last.sequence, last.registry_era,
+                         last.registry_revision, now};
     entries_.erase(found);
     std::erase_if(last_reports_, [&](const auto& item) {
         return now - item.second.removed_at > last_report_lifetime;
@@ -78,6 +89,10 @@
     auto& stored = entries_[listed.id];
     const bool is_new = stored.listed.id.empty();
     const bool is_known = !is_new && !stored.missing_since;
+    if (!is_new && listed.registry_revision == stored.listed.registry_revision) {
+        // The same entry, which a newer era has taken over.
+        listed.registry_era = stored.listed.registry_era;
+    }
     listed_instance without_sequence = listed;
     without_sequence.sequence = stored.listed.sequence;
     if (is_known && without_sequence == stored.listed) {
--- a/libs/traffic/tests/instance_directory_test.cpp
+++ b/libs/traffic/tests/instance_directory_test.cpp
@@ -181,3 +181,41 @@
     CHECK(fixture.directory.expire(fixture.now + 699ms).empty());
     CHECK(fixture.directory.expire(fixture.now + 700ms) == std::vector{instance_id("i")});
 }
+
+TEST_CASE("an entry that was removed is not taken back from an older copy of the registry") {
+    directory_fixture fixture;
+    auto listed = make_instance("i", 5);
+    listed.registry_era = 1;
+    listed.registry_revision = 40;
+    fixture.directory.put(listed);
+    fixture.directory.remove(fixture.now, listed.id);
+    listed.registry_era = 2;
+    CHECK(fixture.directory.put(listed) == directory_change::outdated);
+    CHECK(fixture.usable() == 0);
+    // Its target writes it again.
+    listed.registry_revision = 30;
+    CHECK(fixture.directory.put(listed) == directory_change::added);
+    CHECK(fixture.usable() == 1);
+}
+
+TEST_CASE(
+    "of two entries with one address the one of the newer era is used, not the older copy's") {
+    directory_fixture fixture;
+    auto crashed = make_instance("old");
+    crashed.registry_era = 1;
+    crashed.registry_revision = 40;
+    auto next = make_instance("new");
+    next.registry_era = 1;
+    next.registry_revision = 50;
+    fixture.directory.put(crashed);
+    fixture.directory.put(next);
+    // The copy has the first entry only, and a third process is listed at a lower revision.
+    crashed.registry_era = 2;
+    CHECK(fixture.directory.put(crashed) == directory_change::none);
+    CHECK(fixture.directory.at_address(next.target)->id == next.id);
+    auto third = make_instance("third");
+    third.registry_era = 2;
+    third.registry_revision = 45;
+    fixture.directory.put(third);
+    CHECK(fixture.directory.at_address(next.target)->id == third.id);
+}
