--- a/libs/proxy/tests/cut_off_test.cpp
+++ b/libs/proxy/tests/cut_off_test.cpp
@@ -34,3 +34,18 @@
         CHECK(site.instances_of(node) == node_count - 1);
     }
 }
+
+TEST_CASE("an instance that renews its entry soon after a cut is used all the while") {
+    fleet_site site(fleet_site::layout::own_domains);
+    site.registry->set_mode(0, registry_mode::silent);
+    site.registry->remove_instance(leaving_instance);
+    site.registry->forget_history();
+    site.run_for(cut_time);
+    site.registry->set_mode(0, registry_mode::serving);
+    site.run_for(1500ms);
+    site.registry->list_instance(leaving_instance);
+    for (int i = 0; i < 25; ++i) {
+        CHECK(site.instances_of(0) == node_count);
+        site.run_for(100ms);
+    }
+}
--- a/libs/proxy/tests/restored_registry_test.cpp
+++ b/libs/proxy/tests/restored_registry_test.cpp
@@ -2,6 +2,8 @@
 // again.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "fleet_site.hpp"
 
 using namespace trefoil;
@@ -139,3 +141,34 @@
         CHECK(site.instances_of(0) == node_count - 1);
     }
 }
+
+TEST_CASE("a node that starts after a restore takes the version in force from the others") {
+    fleet_site site;
+    const auto readers = site.readers_within(1s);
+    std::size_t node = 0;
+    while (std::find(readers.begin(), readers.end(), node) != readers.end()) {
+        ++node;
+    }
+    const auto copy = site.registry->make_copy();
+    make_lost_changes(site, 6);
+    site.registry->restore(copy);
+    site.run_for(bound);
+    site.nodes[node].reset();
+    site.start_node(node);
+    site.run_for(bound);
+    CHECK(site.version_of(node) == 6);
+    site.registry->publish(7);
+    CHECK(site.all_have(7, bound));
+}
+
+TEST_CASE("a restore is read by the readers, not by every node") {
+    fleet_site site;
+    const auto copy = site.registry->make_copy();
+    make_lost_changes(site, 6);
+    const auto before = site.registry->calls();
+    site.registry->restore(copy);
+    site.run_for(1s);
+    // A full read takes two calls of each node.
+    CHECK(site.registry->calls() - before < 2 * node_count);
+    CHECK(site.all_have(6, 0ms));
+}
