Tell of a target's answers which connection they came on and what became of them

An incident in which callers got successes that were not the answers to their requests left no line that tells its hypotheses apart: neither the connection of a run and how many requests it had carried, nor why an answer was bad, nor what was discarded.

Answers that were not passed on have a line now (6009, 6010) and are counted by cause in trefoil_target_rejected_answers_total; a sample of those that were passed on (6011) names id, stamp and connection. Which answers are accepted is unchanged: the former predicate is a field name and an id now, by which the client can say whom it waited for.

--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -61,6 +61,9 @@
     call_abandoned = 6006,
     run_refused = 6007,
     run_failed = 6008,
+    answer_discarded = 6009,
+    answer_unusable = 6010,
+    run_answered = 6011,
 };
 
 /// Returns all events in ascending order of their numbers.
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -64,6 +64,9 @@
         {log_event::call_abandoned, "call_abandoned"},
         {log_event::run_refused, "run_refused"},
         {log_event::run_failed, "run_failed"},
+        {log_event::answer_discarded, "answer_discarded"},
+        {log_event::answer_unusable, "answer_unusable"},
+        {log_event::run_answered, "run_answered"},
     };
     return names;
 }
--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -29,6 +31,57 @@
     bad_answer,
 };
 
+/// Why a response could not be read.
+enum class answer_fault : std::uint8_t {
+    none,
+    /// Bytes that are not HTTP.
+    malformed,
+    /// The connection ended within the response.
+    truncated,
+    /// The response did not begin within 1 MiB of interim responses and responses to earlier
+    /// requests.
+    endless,
+};
+
+std::string_view name_of(answer_fault fault);
+
+/// What is known of the connection of an exchange, for logs.
+struct connection_use {
+    /// Number of the connection, counted from the first one of the client.
+    std::uint64_t connection = 0;
+    /// Number of the request on its connection; the first one has 1.
+    std::uint32_t request = 0;
+    answer_fault fault = answer_fault::none;
+
+    friend bool operator==(const connection_use&, const connection_use&) = default;
+};
+
+/// Why bytes of the peer were not passed on as part of a response.
+enum class discard_cause : std::uint8_t {
+    /// A response with the id of another request.
+    foreign_id,
+    /// Bytes on a connection without a request.
+    not_asked,
+};
+
+std::string_view name_of(discard_cause cause);
+
+/// A response, or bytes without a request, that the client has discarded.
+struct discarded_answer {
+    discard_cause cause = discard_cause::not_asked;
+    connection_use use;
+    /// Id of the request that waits on the connection; empty if there is none.
+    std::string waiting_id;
+    /// The discarded head; empty if none was read.
+    std::optional<response_head> head;
+};
+
+/// The header field by which responses name their requests, and the id of the request.
+struct response_identity {
+    std::string field;
+    std::string id;
+};
+
 /// The parts of a response in the order of their arrival. The last event of an exchange is
 /// message_end or exchange_failure.
 using exchange_event = std::variant<response_head, body_piece, message_end, exchange_failure>;
@@ -45,9 +98,9 @@
     /// Maximum time that sent data may stay unacknowledged. The exchange fails with
     /// exchange_failure::connection_lost when it elapses.
     std::chrono::milliseconds acknowledgement_timeout{2500};
-    /// Returns false for a response that belongs to an earlier request on the same connection.
-    /// Such a response is discarded. If unset, every response is accepted.
-    std::function<bool(const response_head&)> is_expected;
+    /// How a response that belongs to an earlier request on the same connection is told apart. Such
+    /// a response is discarded. If unset, every response is accepted.
+    std::optional<response_identity> identity;
 };
 
 /// One request and its response. Destroying the exchange before its last event closes its
@@ -69,6 +122,9 @@
 
     /// True once the connection is established and transmission of the request has started.
     virtual bool was_sent() const = 0;
+
+    /// The connection of the exchange. Stays valid after its last event.
+    virtual connection_use use() const = 0;
 };
 
 /// Limits of the pool of idle connections.
@@ -86,7 +142,7 @@
 struct client_counts {
     std::uint64_t connections_opened = 0;
     std::uint64_t requests = 0;
-    /// Responses that `is_expected` rejected, and data received on idle connections.
+    /// Responses to earlier requests, and data received on idle connections.
     std::uint64_t unexpected_answers = 0;
 };
 
@@ -100,6 +156,7 @@
 class client {
 public:
     using handler = std::function<void(exchange_event)>;
+    using discard_handler = std::function<void(const discarded_answer&)>;
 
     client(uv_loop_s* loop, connection_pool_limits limits);
     ~client();
@@ -113,6 +170,9 @@
                                     std::string_view body, bool is_complete,
                                     exchange_options options, handler on_event);
 
+    /// Sets a function that is told of each response that is discarded.
+    void set_discard_handler(discard_handler on_discarded);
+
     /// Closes the idle connections whose idle timeout has elapsed. The owner calls it about once a
     /// second.
     void close_expired_connections();
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -16,20 +16,38 @@
 
 } // namespace
 
+std::string_view name_of(answer_fault fault) {
+    switch (fault) {
+    case answer_fault::none:
+        return "none";
+    case answer_fault::malformed:
+        return "malformed";
+    case answer_fault::truncated:
+        return "truncated";
+    case answer_fault::endless:
+        return "endless";
+    }
+    return "unknown";
+}
+
+std::string_view name_of(discard_cause cause) {
+    return cause == discard_cause::foreign_id ? "foreign_id" : "not_asked";
+}
+
 std::unique_ptr<exchange> client::impl::start(const endpoint& to, const request_head& head,
                                               std::string_view body, bool is_complete,
                                               exchange_options options, handler on_event) {
     auto assigned_connection = take_idle(to, options.max_idle_time);
     if (assigned_connection == nullptr) {
-        assigned_connection = std::make_shared<connection>(weak_from_this(), to);
+        const auto number = ++counts_.connections_opened;
+        assigned_connection = std::make_shared<connection>(weak_from_this(), to, number);
         assigned_connection->open(loop_);
-        ++counts_.connections_opened;
     }
     ++counts_.requests;
     auto made = std::make_unique<active_exchange>(shared_from_this(), assigned_connection,
                                                   std::move(on_event), head.framing);
     assigned_connection->start_request(uv_now(loop_), options.acknowledgement_timeout);
-    assigned_connection->attach(made.get(), head.method == "HEAD", std::move(options.is_expected));
+    assigned_connection->attach(made.get(), head.method == "HEAD", std::move(options.identity));
     made->send_request(to_bytes(head), body, is_complete, options.connect_timeout);
     return made;
 }
@@ -130,6 +148,10 @@
     return impl_->start(to, head, body, is_complete, std::move(options), std::move(on_event));
 }
 
+void client::set_discard_handler(discard_handler on_discarded) {
+    impl_->on_discarded_ = std::move(on_discarded);
+}
+
 void client::close_expired_connections() {
     impl_->close_expired_connections();
 }
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -40,9 +40,9 @@
         // Unexpected data on an idle connection: a late response to an earlier request.
         stream_.reset();
         if (const auto pool = pool_.lock()) {
-            ++pool->counts_.unexpected_answers;
             pool->remove_idle(this);
         }
+        report_discarded(discard_cause::not_asked, std::nullopt);
         return;
     }
     has_answer_bytes_ = true;
@@ -52,7 +52,7 @@
     if (exchange_ != nullptr && !is_answer_begun_) {
         bytes_before_answer_ += bytes.size();
         if (bytes_before_answer_ > max_bytes_before_response) {
-            fail(exchange_failure::bad_answer);
+            fail(answer_fault::endless);
         }
     }
 }
@@ -80,10 +80,15 @@
             pool->handle_silence(to_, request_started_);
         }
     }
-    if (exchange_ != nullptr) {
-        fail(end_reason == close_reason::not_connected ? exchange_failure::not_sent
-             : has_answer_bytes_                       ? exchange_failure::bad_answer
-                                                       : exchange_failure::connection_lost);
+    if (exchange_ == nullptr) {
+        return;
+    }
+    if (end_reason == close_reason::not_connected) {
+        fail(exchange_failure::not_sent);
+    } else if (has_answer_bytes_) {
+        fail(answer_fault::truncated);
+    } else {
+        fail(exchange_failure::connection_lost);
     }
 }
 
@@ -100,7 +105,11 @@
                                   }
                               },
                               [&](const message_end& end) { on_message_end(end, has_surplus); },
-                              [&](const parse_failure&) { fail(exchange_failure::bad_answer); }},
+                              [&](parse_failure failure) {
+                                  fail(failure == parse_failure::truncated
+                                           ? answer_fault::truncated
+                                           : answer_fault::malformed);
+                              }},
                    event);
     }
 }
@@ -110,12 +119,10 @@
         discards_answer_ = true;
         return;
     }
-    discards_answer_ = is_expected_ && !is_expected_(head);
+    discards_answer_ = !is_expected(head);
     if (discards_answer_) {
         is_reusable_ = false;
-        if (const auto pool = pool_.lock()) {
-            ++pool->counts_.unexpected_answers;
-        }
+        report_discarded(discard_cause::foreign_id, std::move(head));
         return;
     }
     peer_timeout_ = idle_timeout_of(head);
@@ -145,6 +152,33 @@
     finished->emit(end);
 }
 
+bool client::impl::connection::is_expected(const response_head& head) const {
+    if (!identity_) {
+        return true;
+    }
+    const auto named = find_header(head.headers, identity_->field);
+    return named.empty() || named == identity_->id;
+}
+
+void client::impl::connection::report_discarded(discard_cause cause,
+                                                std::optional<response_head> head) {
+    const auto pool = pool_.lock();
+    if (pool == nullptr) {
+        return;
+    }
+    ++pool->counts_.unexpected_answers;
+    if (pool->on_discarded_) {
+        const bool has_request = exchange_ != nullptr && identity_;
+        pool->on_discarded_(
+            {cause, use_, has_request ? identity_->id : std::string(), std::move(head)});
+    }
+}
+
+void client::impl::connection::fail(answer_fault fault) {
+    use_.fault = fault;
+    fail(exchange_failure::bad_answer);
+}
+
 void client::impl::connection::fail(exchange_failure failure) {
     auto* failed = std::exchange(exchange_, nullptr);
     stream_.reset();
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -48,6 +48,7 @@
     uv_loop_t* loop_;
     connection_pool_limits limits_;
     client_counts counts_;
+    discard_handler on_discarded_;
     /// Idle connections by address, with the most recently used one at the back.
     std::map<endpoint, std::deque<std::shared_ptr<connection>>> idle_;
     /// Where and when a connection was last found silent.
@@ -58,8 +59,10 @@
 /// One connection. It is in use while it has an active exchange, else idle.
 class client::impl::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(std::weak_ptr<impl> pool, endpoint to)
-        : pool_(std::move(pool)), to_(std::move(to)) {}
+    connection(std::weak_ptr<impl> pool, endpoint to, std::uint64_t number)
+        : pool_(std::move(pool)), to_(std::move(to)) {
+        use_.connection = number;
+    }
 
     void open(uv_loop_t* loop) {
         stream_ = tcp_stream::connect(loop, to_,
@@ -78,9 +81,10 @@
 
     /// Prepares the connection for the response of a new exchange.
     void attach(active_exchange* assigned, bool has_no_body,
-                std::function<bool(const response_head&)> expected) {
+                std::optional<response_identity> identity) {
         exchange_ = assigned;
-        is_expected_ = std::move(expected);
+        identity_ = std::move(identity);
+        ++use_.request;
         is_answer_complete_ = false;
         is_reusable_ = true;
         discards_answer_ = false;
@@ -106,6 +110,7 @@
         idle_until_ = now + timeout_ms;
     }
     std::optional<std::chrono::milliseconds> peer_timeout() const { return peer_timeout_; }
+    const connection_use& use() const { return use_; }
 
 private:
     void on_data(std::string_view bytes);
@@ -115,11 +120,17 @@
     /// `has_surplus` is true if further bytes follow the response.
     void on_message_end(const message_end& end, bool has_surplus);
     void fail(exchange_failure failure);
+    /// Fails the exchange because of its response.
+    void fail(answer_fault fault);
+    /// True if the response names the request, or no request.
+    bool is_expected(const response_head& head) const;
+    void report_discarded(discard_cause cause, std::optional<response_head> head);
 
     std::weak_ptr<impl> pool_;
     endpoint to_;
     response_parser parser_;
-    std::function<bool(const response_head&)> is_expected_;
+    std::optional<response_identity> identity_;
+    connection_use use_;
     std::optional<std::chrono::milliseconds> peer_timeout_;
     std::uint64_t idle_since_ = 0;
     std::uint64_t idle_until_ = 0;
@@ -207,7 +218,13 @@
     }
 
     /// Detaches the connection at the end of the exchange and returns it.
-    std::shared_ptr<connection> release() { return std::exchange(connection_, nullptr); }
+    std::shared_ptr<connection> release() {
+        last_use_ = connection_->use();
+        return std::exchange(connection_, nullptr);
+    }
+    connection_use use() const override {
+        return connection_ == nullptr ? last_use_ : connection_->use();
+    }
 
 private:
     bool has_stream() const { return connection_ != nullptr && connection_->stream_ != nullptr; }
@@ -240,6 +257,7 @@
     std::shared_ptr<connection> connection_;
     handler on_event_;
     body_framing framing_;
+    connection_use last_use_;
     loop_timer timer_;
     bool is_body_complete_ = false;
 };
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -200,9 +200,7 @@
     head.target = "/";
     exchange_options options;
     if (!id.empty()) {
-        options.is_expected = [id](const response_head& answer) {
-            return find_header(answer.headers, "id") == id;
-        };
+        options.identity = response_identity{"id", id};
     }
     record.handle = sender.start(to, head, {}, true, options, [&record](exchange_event event) {
         std::visit(overloaded{[&](const response_head& answer) { record.status = answer.status; },
--- a/libs/proxy/src/proxy_metrics.cpp
+++ b/libs/proxy/src/proxy_metrics.cpp
@@ -84,6 +84,13 @@
     for (const auto& [cause, count] : retries_) {
         out += fmt::format("trefoil_repeats_total{{cause=\"{}\"}} {}\n", label(cause), count);
     }
+    out += "# TYPE trefoil_target_rejected_answers_total counter\n";
+    for (const auto& [fate_and_cause, count] : rejected_answers_) {
+        const auto& [fate, cause] = fate_and_cause;
+        out += fmt::format("trefoil_target_rejected_answers_total{{fate=\"{}\",cause=\"{}\"}} {}\n",
+                           fate == answer_fate::discarded ? "discarded" : "unusable", label(cause),
+                           count);
+    }
     out += "# TYPE trefoil_call_seconds histogram\n";
     for (const auto& [route, entry] : routes_) {
         append_histogram(out, route, entry.latency);
--- a/libs/proxy/src/proxy_metrics.hpp
+++ b/libs/proxy/src/proxy_metrics.hpp
@@ -4,10 +4,13 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 #include <trefoil/telemetry/latency_histogram.hpp>
 #include <trefoil/wire/call_context.hpp>
 
+#include "target_answer_report.hpp"
+
 namespace trefoil {
 
 /// The result of a call for its caller.
@@ -37,6 +40,9 @@
     void record_call(const std::string& route, call_result result, duration took);
     void count_refusal(refusal reason) { ++refusals_[reason]; }
     void count_retry(const std::string& cause) { ++retries_[cause]; }
+    void count_rejected_answer(answer_fate fate, const std::string& cause) {
+        ++rejected_answers_[{fate, cause}];
+    }
 
     /// Returns all metrics in the Prometheus text format.
     std::string text() const;
@@ -47,6 +53,8 @@
     std::map<std::string, route_metrics> routes_;
     std::map<refusal, std::uint64_t> refusals_;
     std::map<std::string, std::uint64_t> retries_;
+    /// Answers of the target that were not passed on, by what became of them and why.
+    std::map<std::pair<answer_fate, std::string>, std::uint64_t> rejected_answers_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -23,8 +23,10 @@
       peers(event_loop, peer_limits),
       crashes(event_loop, settings.target, seed,
               [this](const crash_notice& notice) { broadcast_crash(notice); }),
-      dispatcher(event_loop, settings.target, settings.header_names, crashes,
-                 [this](const target_announcement& announced) { handle_announcement(announced); }),
+      dispatcher(
+          event_loop, settings.target, settings.header_names, crashes,
+          [this](const target_announcement& announced) { handle_announcement(announced); },
+          [this](const target_answer_report& report) { handle_answer(report); }),
       random(seed + 1) {}
 
 time_point proxy_state::now() const {
@@ -56,6 +58,13 @@
     logged_announcement = announced;
 }
 
+void proxy_state::handle_answer(const target_answer_report& report) {
+    if (report.fate != answer_fate::passed_on) {
+        metrics.count_rejected_answer(report.fate, report.cause);
+    }
+    add_log_record(log_class_of(report.fate), [&] { return to_record(report); });
+}
+
 void proxy_state::set_leaving(const instance_id& instance, std::int64_t started_at_ms) {
     const auto change = directory.announce_leaving(now(), instance, started_at_ms);
     if (change != directory_change::draining) {
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -49,6 +49,9 @@
     /// Applies and logs what the local target has announced.
     void handle_announcement(const target_announcement& announced);
 
+    /// Counts and logs what became of an answer of the local target.
+    void handle_answer(const target_answer_report& report);
+
     /// Sends no more requests to the process of the instance that started at `started_at_ms`.
     void set_leaving(const instance_id& instance, std::int64_t started_at_ms);
 
--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -122,10 +122,8 @@
         if (request_.terms.repeats == repeatability::at_most_once) {
             options.max_idle_time = non_idempotent_max_idle;
         }
-        options.is_expected = [this](const http1::response_head& head) {
-            const auto echoed = find_header(head.headers, dispatcher_.fields_.request_id);
-            return echoed.empty() || echoed == request_.request_id;
-        };
+        options.identity =
+            http1::response_identity{dispatcher_.fields_.request_id, request_.request_id};
         exchange_ = dispatcher_.client_.start(
             dispatcher_.target_, request_.head, request_.body, request_.is_body_complete,
             std::move(options),
@@ -172,6 +170,10 @@
                                   emit(refused);
                               },
                               [&](attempt_failure& failed) {
+                                  if (failed.error == attempt_error::bad_answer) {
+                                      report_answer(answer_fate::unusable,
+                                                    name_of(exchange_->use().fault), nullptr);
+                                  }
                                   end_run(service_status::application_error);
                                   if (failed.error == attempt_error::connection_lost) {
                                       dispatcher.crashes_.report_lost(fingerprint_);
@@ -190,8 +192,12 @@
         if (request_.terms.is_nested && dispatcher_.is_busy_for(request_.terms)) {
             reply.downstream = std::max(reply.downstream, downstream_state::busy);
         }
+        const auto head = reply.head;
         auto classified = classify_target_response(
             dispatcher_.fields_, {request_.request_id, request_.terms.repeats}, std::move(reply));
+        const bool is_unusable = std::holds_alternative<attempt_failure>(classified);
+        report_answer(is_unusable ? answer_fate::unusable : answer_fate::passed_on,
+                      is_unusable ? "not_the_targets" : "", &head);
         if (auto* refused = std::get_if<attempt_refusal>(&classified)) {
             // The target has received fewer requests than it has slots, so a lack of slots is not
             // the cause of its refusal.
@@ -206,6 +212,16 @@
         emit(std::move(classified));
     }
 
+    /// Reports what becomes of an answer; `head` is null if none was read.
+    void report_answer(answer_fate fate, std::string_view cause, const http1::response_head* head) {
+        target_answer_report report{
+            fate, std::string(cause), request_.request_id, exchange_->use(), 0, {}, {}};
+        if (head != nullptr) {
+            describe_head(report, dispatcher_.fields_, *head);
+        }
+        dispatcher_.on_answer_(report);
+    }
+
     /// Reports to the downstream limiter what the calls of this run showed.
     void report_downstream(downstream_congestion seen) {
         const auto& terms = request_.terms;
@@ -255,13 +271,27 @@
 
 target_dispatcher::target_dispatcher(uv_loop_s* loop, endpoint target,
                                      const header_field_names& fields, crash_detector& crashes,
-                                     announcement_handler on_announcement)
+                                     announcement_handler on_announcement, answer_handler on_answer)
     : loop_(loop), target_(std::move(target)), fields_(fields), crashes_(crashes),
-      on_announcement_(std::move(on_announcement)), client_(loop, connection_limits),
-      admission_(make_admission_settings()), timer_(loop, [this] {
+      on_announcement_(std::move(on_announcement)), on_answer_(std::move(on_answer)),
+      client_(loop, connection_limits), admission_(make_admission_settings()), timer_(loop, [this] {
           notify_refused();
           advance();
-      }) {}
+      }) {
+    client_.set_discard_handler([this](const http1::discarded_answer& discarded) {
+        target_answer_report report{answer_fate::discarded,
+                                    std::string(name_of(discarded.cause)),
+                                    discarded.waiting_id,
+                                    discarded.use,
+                                    0,
+                                    {},
+                                    {}};
+        if (discarded.head) {
+            describe_head(report, fields_, *discarded.head);
+        }
+        on_answer_(report);
+    });
+}
 
 time_point target_dispatcher::now() const {
     return http1::loop_time(loop_);
--- a/libs/proxy/src/target_dispatcher.hpp
+++ b/libs/proxy/src/target_dispatcher.hpp
@@ -21,6 +21,7 @@
 #include "crash_detector.hpp"
 #include "peer_message.hpp"
 #include "target_announcement.hpp"
+#include "target_answer_report.hpp"
 
 struct uv_loop_s;
 
@@ -41,9 +42,12 @@
 public:
     /// Called when the target announces another limit or that it is leaving.
     using announcement_handler = std::function<void(const target_announcement&)>;
+    /// Called for each answer of the target once it is known what becomes of it.
+    using answer_handler = std::function<void(const target_answer_report&)>;
 
     target_dispatcher(uv_loop_s* loop, endpoint target, const header_field_names& fields,
-                      crash_detector& crashes, announcement_handler on_announcement);
+                      crash_detector& crashes, announcement_handler on_announcement,
+                      answer_handler on_answer);
     target_dispatcher(const target_dispatcher&) = delete;
     target_dispatcher& operator=(const target_dispatcher&) = delete;
 
@@ -117,6 +121,7 @@
     const header_field_names& fields_;
     crash_detector& crashes_;
     announcement_handler on_announcement_;
+    answer_handler on_answer_;
     target_announcement announcement_;
     bool has_answered_ = false;
     std::optional<instance_id> leaving_instance_;
