--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -179,6 +179,8 @@
     std::uint16_t ready_port = free_port();
     std::uint16_t metrics_port = free_port();
     std::uint32_t slots;
+    /// Id of the requests that callers send.
+    std::string caller_id = "caller-1";
     std::array<memory_registry*, 2> registries{};
     std::vector<std::unique_ptr<test_target>> targets;
     std::vector<std::unique_ptr<proxy_node>> nodes;
@@ -295,7 +297,7 @@
         head.target = path;
         head.headers = std::move(headers);
         head.headers.push_back({"host", "h"});
-        head.headers.push_back({"id", "caller-1"});
+        head.headers.push_back({"id", caller_id});
         into.running =
             client->start({ip(machine), caller_port}, head, {}, true, {},
                           [&into](http1::exchange_event event) { take(into, std::move(event)); });
