Send an id over a connection at most once, so that a late answer can't be its next run's

What callers saw: a success where the target had answered the run with a failure (MIXED). Cause: the gate took an answer for that of the request by its id, but an id names a request, not a run. A target that answers twice, the second time late, then answers the next run of the same id on that connection with the answer of the former run. Ids come again when a caller sends one again and when a run is repeated, since it makes its calls again.

A connection now remembers the ids that it has carried, as hashes, and a request whose id it has carried goes over another one. So an answer with the id of the request that waits is the first one to its only run there. A connection is given up after 1,024 requests, which bounds the memory (8 KiB).

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -76,7 +76,9 @@
     std::optional<response_head> head;
 };
 
-/// The header field by which responses name their requests, and the id of the request.
+/// The header field by which responses name their requests, and the id of the request. A connection
+/// carries at most one request with the same id, because the response to an earlier one may follow
+/// late, or twice.
 struct response_identity {
     std::string field;
     std::string id;
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -37,7 +37,8 @@
 std::unique_ptr<exchange> client::impl::start(const endpoint& to, const request_head& head,
                                               std::string_view body, bool is_complete,
                                               exchange_options options, handler on_event) {
-    auto assigned_connection = take_idle(to, options.max_idle_time);
+    const auto id = options.identity ? options.identity->id : std::string();
+    auto assigned_connection = take_idle(to, options.max_idle_time, id);
     if (assigned_connection == nullptr) {
         const auto number = ++counts_.connections_opened;
         assigned_connection = std::make_shared<connection>(weak_from_this(), to, number);
@@ -53,21 +54,25 @@
 }
 
 std::shared_ptr<client::impl::connection>
-client::impl::take_idle(const endpoint& to, std::chrono::milliseconds max_idle) {
+client::impl::take_idle(const endpoint& to, std::chrono::milliseconds max_idle,
+                        const std::string& id) {
     const auto found = idle_.find(to);
     if (found == idle_.end()) {
         return nullptr;
     }
     auto& idle_connections = found->second;
     const auto now = uv_now(loop_);
-    while (!idle_connections.empty()) {
-        auto last = idle_connections.back();
-        const bool is_fresh = now < last->idle_until();
+    for (auto at = idle_connections.end(); at != idle_connections.begin();) {
+        auto last = *--at;
+        const bool is_fresh = now < last->idle_until() && last->stream_ != nullptr;
         if (is_fresh && now - last->idle_since() > static_cast<std::uint64_t>(max_idle.count())) {
             return nullptr;
         }
-        idle_connections.pop_back();
-        if (is_fresh && last->stream_ != nullptr) {
+        if (is_fresh && last->has_carried(id)) {
+            continue;
+        }
+        at = idle_connections.erase(at);
+        if (is_fresh) {
             return last;
         }
         last->stream_.reset();
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -1,6 +1,7 @@
 // Pool of connections of a client, and the exchanges that use them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -12,6 +13,7 @@
 
 #include <uv.h>
 
+#include <trefoil/base/hash.hpp>
 #include <trefoil/http1/client.hpp>
 #include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/message_parser.hpp>
@@ -31,8 +33,10 @@
                                     std::string_view body, bool is_complete,
                                     exchange_options options, handler on_event);
     /// Removes an idle connection to the address from the pool and returns it. Returns null if
-    /// there is none that has been idle for at most `max_idle`.
-    std::shared_ptr<connection> take_idle(const endpoint& to, std::chrono::milliseconds max_idle);
+    /// there is none that has been idle for at most `max_idle` and has not carried a request with
+    /// this id.
+    std::shared_ptr<connection> take_idle(const endpoint& to, std::chrono::milliseconds max_idle,
+                                          const std::string& id);
     /// Adds an idle connection to the pool. Closes the oldest one to the address if the pool holds
     /// connection_pool_limits::max_idle_connections of them.
     void add_idle(const std::shared_ptr<connection>& released);
@@ -85,6 +89,9 @@
         exchange_ = assigned;
         identity_ = std::move(identity);
         ++use_.request;
+        if (identity_) {
+            carried_ids_.push_back(stable_hash(identity_->id));
+        }
         is_answer_complete_ = false;
         is_reusable_ = true;
         discards_answer_ = false;
@@ -102,8 +109,16 @@
         stream_->set_user_timeout(acknowledgement_timeout);
     }
     bool has_answer_bytes() const { return has_answer_bytes_; }
+    /// True if a request with this id was sent over the connection. A response to it may still
+    /// follow, so no other request with the id may use the connection.
+    bool has_carried(const std::string& id) const {
+        return std::find(carried_ids_.begin(), carried_ids_.end(), stable_hash(id)) !=
+               carried_ids_.end();
+    }
     void set_unusable() { is_reusable_ = false; }
-    bool is_reusable() const { return is_reusable_ && stream_ != nullptr; }
+    bool is_reusable() const {
+        return is_reusable_ && stream_ != nullptr && carried_ids_.size() < max_identified_requests;
+    }
     bool is_answer_complete() const { return is_answer_complete_; }
     void set_idle(std::uint64_t now, std::uint64_t timeout_ms) {
         idle_since_ = now;
@@ -113,6 +128,9 @@
     const connection_use& use() const { return use_; }
 
 private:
+    /// A connection is closed after this number of requests whose ids must be remembered.
+    static constexpr std::size_t max_identified_requests = 1024;
+
     void on_data(std::string_view bytes);
     void on_closed(close_reason end_reason);
     void handle_events(std::vector<response_event> events);
@@ -130,6 +148,8 @@
     endpoint to_;
     response_parser parser_;
     std::optional<response_identity> identity_;
+    /// Hashes of the ids of all requests of the connection.
+    std::vector<std::uint64_t> carried_ids_;
     connection_use use_;
     std::optional<std::chrono::milliseconds> peer_timeout_;
     std::uint64_t idle_since_ = 0;
