Take an answer without an id only as that of its connection's first request

What callers saw: the answer of another caller's request (MIXED). An extra answer without an id, sent late for the former request of the connection, was passed on to the next caller, and the one's own answer closed the connection.

Only the place on the connection tells whose answer that is, and it does so for the first request alone: later ones may have another's in front of theirs. A connection that brought an answer without an id is not used again, so that a target that never repeats ids is served over one connection a request.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -60,6 +60,8 @@
 enum class discard_cause : std::uint8_t {
     /// A response with the id of another request.
     foreign_id,
+    /// A response without an id, on a connection that has carried requests before.
+    no_id,
     /// Bytes on a connection without a request.
     not_asked,
 };
@@ -78,7 +80,8 @@
 
 /// The header field by which responses name their requests, and the id of the request. A connection
 /// carries at most one request with the same id, because the response to an earlier one may follow
-/// late, or twice.
+/// late, or twice. For the same reason a response without an id is accepted only as that of the
+/// first request of its connection.
 struct response_identity {
     std::string field;
     std::string id;
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -31,7 +31,15 @@
 }
 
 std::string_view name_of(discard_cause cause) {
-    return cause == discard_cause::foreign_id ? "foreign_id" : "not_asked";
+    switch (cause) {
+    case discard_cause::foreign_id:
+        return "foreign_id";
+    case discard_cause::no_id:
+        return "no_id";
+    case discard_cause::not_asked:
+        return "not_asked";
+    }
+    return "unknown";
 }
 
 std::unique_ptr<exchange> client::impl::start(const endpoint& to, const request_head& head,
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -119,12 +119,16 @@
         discards_answer_ = true;
         return;
     }
-    discards_answer_ = !is_expected(head);
+    const auto cause = cause_to_discard(head);
+    discards_answer_ = cause.has_value();
     if (discards_answer_) {
         is_reusable_ = false;
-        report_discarded(discard_cause::foreign_id, std::move(head));
+        report_discarded(*cause, std::move(head));
         return;
     }
+    if (identity_ && find_header(head.headers, identity_->field).empty()) {
+        is_reusable_ = false;
+    }
     peer_timeout_ = idle_timeout_of(head);
     if (has_connection_close(head.headers)) {
         is_reusable_ = false;
@@ -152,12 +156,20 @@
     finished->emit(end);
 }
 
-bool client::impl::connection::is_expected(const response_head& head) const {
+std::optional<discard_cause>
+client::impl::connection::cause_to_discard(const response_head& head) const {
     if (!identity_) {
-        return true;
+        return std::nullopt;
     }
     const auto named = find_header(head.headers, identity_->field);
-    return named.empty() || named == identity_->id;
+    if (named == identity_->id) {
+        return std::nullopt;
+    }
+    if (!named.empty()) {
+        return discard_cause::foreign_id;
+    }
+    const bool is_only_request = use_.request == 1;
+    return is_only_request ? std::nullopt : std::optional(discard_cause::no_id);
 }
 
 void client::impl::connection::report_discarded(discard_cause cause,
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -140,8 +140,8 @@
     void fail(exchange_failure failure);
     /// Fails the exchange because of its response.
     void fail(answer_fault fault);
-    /// True if the response names the request, or no request.
-    bool is_expected(const response_head& head) const;
+    /// Returns why the response is not that of the request; empty if it is.
+    std::optional<discard_cause> cause_to_discard(const response_head& head) const;
     void report_discarded(discard_cause cause, std::optional<response_head> head);
 
     std::weak_ptr<impl> pool_;
