Let no part of an extra answer stand in front of the next answer of a connection

Cause: a target answered a request a second time and broke off. Where the piece ended within the reason or a field's value, the next answer's status line became the end of that text and its fields the rest of the head: status of the one, id, stamp and body of the other, so that every check passed. Where it ended elsewhere the head was malformed: the many bad_answer of the same second.

Two ways led there. A piece in the same read as the end of the answer before it made no event, so the connection went back to the pool with a begun head: the parser now stops at the end of each message and says whether bytes follow, to the byte, and such a connection is closed. And a piece that comes while the next request is worked on: a head, or a discarded body, in which a status line stands fails the exchange at once (6010, cause=mixed), so that an idempotent request is sent again in time.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -41,6 +41,9 @@
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
+    /// The response is in part that to another request: a status line stands within its head, or
+    /// within a response that is discarded.
+    mixed,
 };
 
 std::string_view name_of(answer_fault fault);
@@ -152,8 +155,8 @@
 };
 
 /// Sends each request over a new or a pooled connection, without pipelining. A connection returns
-/// to the pool only after a complete response to a complete request, with no surplus bytes after
-/// the response. The client never retries a request.
+/// to the pool only after a complete response to a complete request, with no bytes after the
+/// response. The client never retries a request.
 ///
 /// Connections can fall silent without an error, often many at once. When a request has had no
 /// acknowledgement in time, the idle connections to its address are closed that have not been used
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -49,6 +49,8 @@
 struct message_end {
     /// True if the connection is persistent, so that another message may follow.
     bool keep_alive = false;
+    /// True if bytes that were read together with the message follow it.
+    bool is_followed = false;
 
     friend bool operator==(const message_end&, const message_end&) = default;
 };
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_pool.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include <trefoil/base/overloaded.hpp>
@@ -32,6 +33,32 @@
     return find_header(headers, "connection").find("lose") != std::string_view::npos;
 }
 
+/// True if the text contains the start of a status line up to its status.
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    /// Minor version, space and status.
+    constexpr std::string_view rest = "0 000";
+    const auto matches = [](char found, char pattern) {
+        return pattern == '0' ? found >= '0' && found <= '9' : found == pattern;
+    };
+    for (auto at = text.find(version); at != std::string_view::npos; at = text.find(version, at)) {
+        at += version.size();
+        const auto follows = text.substr(at, rest.size());
+        if (std::equal(follows.begin(), follows.end(), rest.begin(), rest.end(), matches)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// True if the head begins with a part of another one: where that part ends within the reason or
+/// the value of a field, the status line of the second head continues it.
+bool is_mixed(const response_head& head) {
+    return contains_status_line(head.reason) ||
+           std::any_of(head.headers.begin(), head.headers.end(),
+                       [](const http_header& field) { return contains_status_line(field.value); });
+}
+
 } // namespace
 
 void client::impl::connection::on_data(std::string_view bytes) {
@@ -97,14 +124,9 @@
         if (exchange_ == nullptr) {
             return;
         }
-        const bool has_surplus = &event != &events.back();
         std::visit(overloaded{[&](response_head& head) { on_head(head); },
-                              [&](body_piece& piece) {
-                                  if (!discards_answer_) {
-                                      exchange_->emit(std::move(piece));
-                                  }
-                              },
-                              [&](const message_end& end) { on_message_end(end, has_surplus); },
+                              [&](body_piece& piece) { on_body(piece); },
+                              [&](const message_end& end) { on_message_end(end); },
                               [&](parse_failure failure) {
                                   fail(failure == parse_failure::truncated
                                            ? answer_fault::truncated
@@ -119,6 +141,10 @@
         discards_answer_ = true;
         return;
     }
+    if (is_mixed(head)) {
+        fail(answer_fault::mixed);
+        return;
+    }
     const auto cause = cause_to_discard(head);
     discards_answer_ = cause.has_value();
     if (discards_answer_) {
@@ -137,14 +163,23 @@
     exchange_->emit(std::move(head));
 }
 
-void client::impl::connection::on_message_end(const message_end& end, bool has_surplus) {
+void client::impl::connection::on_body(body_piece& piece) {
+    if (!discards_answer_) {
+        exchange_->emit(std::move(piece));
+    } else if (contains_status_line(piece.bytes)) {
+        fail(answer_fault::mixed);
+    }
+}
+
+void client::impl::connection::on_message_end(const message_end& end) {
     if (discards_answer_) {
         discards_answer_ = false;
         return;
     }
     is_answer_complete_ = true;
     auto* finished = exchange_;
-    is_reusable_ = is_reusable_ && end.keep_alive && !has_surplus && finished->is_body_complete();
+    is_reusable_ =
+        is_reusable_ && end.keep_alive && !end.is_followed && finished->is_body_complete();
     exchange_ = nullptr;
     const auto self = finished->release();
     const auto pool = pool_.lock();
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -135,8 +135,8 @@
     void on_closed(close_reason end_reason);
     void handle_events(std::vector<response_event> events);
     void on_head(response_head& head);
-    /// `has_surplus` is true if further bytes follow the response.
-    void on_message_end(const message_end& end, bool has_surplus);
+    void on_body(body_piece& piece);
+    void on_message_end(const message_end& end);
     void fail(exchange_failure failure);
     /// Fails the exchange because of its response.
     void fail(answer_fault fault);
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -52,12 +52,10 @@
             return;
         }
         events_ = &events;
-        const auto parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
-        events_ = nullptr;
-        const bool is_malformed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parsed != bytes.size();
-        if (is_malformed) {
-            fail(events);
+        while (!bytes.empty() && !has_failed_) {
+            bytes.remove_prefix(feed_up_to_message_end(bytes));
         }
+        events_ = nullptr;
     }
 
     void finish(std::vector<Event>& events) {
@@ -66,6 +64,7 @@
         }
         events_ = &events;
         http_parser_execute(&parser_, &settings_, nullptr, 0);
+        resume_after_message();
         events_ = nullptr;
         if (is_in_message_) {
             has_failed_ = true;
@@ -81,6 +80,27 @@
         return *static_cast<parser_core*>(parser->data);
     }
 
+    /// Parses up to the end of a message, where complete_message() pauses the parser, or all of
+    /// the bytes. Returns the number of bytes parsed.
+    std::size_t feed_up_to_message_end(std::string_view bytes) {
+        const auto parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+        if (resume_after_message()) {
+            std::get<message_end>(events_->back()).is_followed = parsed < bytes.size();
+        } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parsed != bytes.size()) {
+            fail(*events_);
+        }
+        return parsed;
+    }
+
+    /// Resumes the parser if complete_message() has paused it. Returns false if it was not paused.
+    bool resume_after_message() {
+        const bool is_paused = HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
+        if (is_paused) {
+            http_parser_pause(&parser_, 0);
+        }
+        return is_paused;
+    }
+
     void fail(std::vector<Event>& events) {
         has_failed_ = true;
         events.push_back(head_bytes_ > max_head_bytes_ ? parse_failure::head_too_large
@@ -154,6 +174,7 @@
     int complete_message() {
         is_in_message_ = false;
         events_->push_back(message_end{http_should_keep_alive(&parser_) != 0});
+        http_parser_pause(&parser_, 1);
         return 0;
     }
 
