Give a request with HEAD a connection of its own, and let an interim response not end its answer

An extra answer to an earlier GET was read as one without a body, so that its body was taken for the next answers; and a 1xx used the mark up, so that the client waited for the body of an answer to HEAD until the timeout of the route.

--- a/libs/http1/include/trefoil/http1/message_parser.hpp
+++ b/libs/http1/include/trefoil/http1/message_parser.hpp
@@ -38,8 +38,8 @@
     response_parser(const response_parser&) = delete;
     response_parser& operator=(const response_parser&) = delete;
 
-    /// Treats the next response as one without a body, whatever its header fields say. Used for
-    /// responses to HEAD requests.
+    /// Treats the next final response as one without a body, whatever its header fields say. Used
+    /// for responses to HEAD requests.
     void expect_no_body();
 
     /// Parses the bytes and appends the resulting events. Input after a parse_failure is ignored.
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -48,7 +48,8 @@
                                               std::string_view body, bool is_complete,
                                               exchange_options options, handler on_event) {
     const auto id = options.identity ? options.identity->id : std::string();
-    auto assigned_connection = take_idle(to, options.max_idle_time, id);
+    const bool is_head = head.method == "HEAD";
+    auto assigned_connection = is_head ? nullptr : take_idle(to, options.max_idle_time, id);
     if (assigned_connection == nullptr) {
         const auto number = ++counts_.connections_opened;
         assigned_connection = std::make_shared<connection>(weak_from_this(), to, number);
@@ -58,7 +59,7 @@
     auto made = std::make_unique<active_exchange>(shared_from_this(), assigned_connection,
                                                   std::move(on_event), head.framing);
     assigned_connection->start_request(uv_now(loop_), options.acknowledgement_timeout);
-    assigned_connection->attach(made.get(), head.method == "HEAD", std::move(options.identity));
+    assigned_connection->attach(made.get(), is_head, std::move(options.identity));
     made->send_request(to_bytes(head), body, is_complete, options.connect_timeout);
     return made;
 }
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -83,7 +83,9 @@
     active_exchange* exchange_ = nullptr;
     std::unique_ptr<tcp_stream> stream_;
 
-    /// Prepares the connection for the response of a new exchange.
+    /// Prepares the connection for the response of a new exchange. A response to a request with
+    /// HEAD can be framed only if no other response may stand before or after it, so such a
+    /// connection carries no other request.
     void attach(active_exchange* assigned, bool has_no_body,
                 std::optional<response_identity> identity) {
         exchange_ = assigned;
@@ -100,6 +102,7 @@
         bytes_before_answer_ = 0;
         if (has_no_body) {
             parser_.expect_no_body();
+            is_reusable_ = false;
         }
     }
     /// Notes the start of a request, whose data must be acknowledged within the timeout.
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -149,6 +149,15 @@
         is_in_value_ = false;
     }
 
+    /// True for a response that is followed by the final one (1xx).
+    static bool is_interim_response(const Head& head) {
+        if constexpr (requires { head.status; }) {
+            return head.status / 100 == 1;
+        } else {
+            return false;
+        }
+    }
+
     /// Emits the head. Returns 1 to make http_parser skip the body.
     int complete_head() {
         store_header();
@@ -167,8 +176,9 @@
         if (skips_body_) {
             head.framing = body_framing::none;
         }
+        const bool is_interim = is_interim_response(head);
         events_->push_back(std::move(head));
-        return std::exchange(skips_body_, false) ? 1 : 0;
+        return !is_interim && std::exchange(skips_body_, false) ? 1 : 0;
     }
 
     int complete_message() {
--- a/libs/proxy/tests/extra_answer_test.cpp
+++ b/libs/proxy/tests/extra_answer_test.cpp
@@ -41,6 +41,8 @@
     /// Sent while the second request is worked on.
     std::vector<std::string> during_next;
     std::size_t first_connection = 0;
+    /// Stands in front of each answer after the first one.
+    std::string before_answer;
 
     stuttering_site() {
         site.targets[0].reset();
@@ -64,16 +66,21 @@
             target->send_after(at, first_connection, bytes);
             at += 1ms;
         }
-        const auto body = request.method == "HEAD" ? std::string() : "second";
-        target->send_after(work_time, request.connection, answer_text(500, request.id, body));
+        auto text = before_answer + answer_text(500, request.id, "second");
+        if (request.method == "HEAD") {
+            text.erase(text.rfind("second"));
+        }
+        target->send_after(work_time, request.connection, text);
     }
 
     /// Sends the two requests, one after the other, and returns what the second caller gets.
-    reply ask_twice(const std::string& second_id, std::size_t machine = 0) {
+    reply ask_twice(const std::string& second_id, std::size_t machine = 0,
+                    const std::string& second_method = "GET") {
         const auto first = site.ask("/write/1", {}, machine);
         CHECK(first.status == 200);
         CHECK(first.body == "first");
         site.caller_id = second_id;
+        site.caller_method = second_method;
         auto second = site.ask("/write/2", {}, machine);
         CHECK(target->requests == 2);
         return second;
@@ -143,3 +150,27 @@
         }
     }
 }
+
+TEST_CASE("a request with HEAD gets its own answer after a target has sent an extra one") {
+    for (const auto names : {extra_id::repeated, extra_id::missing}) {
+        for (const std::size_t machine : {0U, 1U}) {
+            CAPTURE(static_cast<int>(names));
+            CAPTURE(machine);
+            stuttering_site stutters;
+            // The body is a whole answer.
+            stutters.during_next = {answer_text(200, names == extra_id::missing ? "" : "caller-1",
+                                                answer_text(200, "caller-2", ""))};
+            const auto got = stutters.ask_twice("caller-2", machine, "HEAD");
+            CHECK(got.status == 500);
+        }
+    }
+}
+
+TEST_CASE("an interim response does not end the answer to a request with HEAD") {
+    stuttering_site stutters;
+    stutters.before_answer = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const auto got = stutters.ask_twice("caller-2", 0, "HEAD");
+    CHECK(got.status == 500);
+    stutters.site.caller_id = "caller-3";
+    CHECK(stutters.site.ask("/write/3").status == 500);
+}
--- a/libs/proxy/tests/two_machine_site.hpp
+++ b/libs/proxy/tests/two_machine_site.hpp
@@ -181,6 +181,7 @@
     std::uint32_t slots;
     /// Id of the requests that callers send.
     std::string caller_id = "caller-1";
+    std::string caller_method = "GET";
     std::array<memory_registry*, 2> registries{};
     std::vector<std::unique_ptr<test_target>> targets;
     std::vector<std::unique_ptr<proxy_node>> nodes;
@@ -293,7 +294,7 @@
     void send(reply& into, const std::string& path, std::vector<http_header> headers = {},
               std::size_t machine = 0) {
         http1::request_head head;
-        head.method = "GET";
+        head.method = caller_method;
         head.target = path;
         head.headers = std::move(headers);
         head.headers.push_back({"host", "h"});
