Count a call for its run although another run with the same id has ended

The table of running requests had one entry for an id, so the run that ended first took the other's entry with it: calls of the other then had the order of their own route, and what they met was lost. A target's failure was repeated although its call had found no room, by the budget of all.

Entries are kept for each run; what a call meets counts for all runs with its parent's id, and a retry's terms are preferred. whole_path_test, the case of this name: the failure was sent to the other target before, not now.

--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -112,7 +112,7 @@
     /// Sends the request to the target.
     void start() {
         started_ = dispatcher_.now();
-        dispatcher_.running_[request_.request_id] = this;
+        dispatcher_.running_.emplace(request_.request_id, this);
         const auto waited = started_ - arrived_;
         const auto left = std::max<duration>(request_.terms.remaining - waited, 1ms);
         set_header(request_.head.headers, dispatcher_.fields_.remaining_time,
@@ -232,8 +232,10 @@
     }
 
     void remove_from_running() {
-        const auto found = dispatcher_.running_.find(request_.request_id);
-        if (found != dispatcher_.running_.end() && found->second == this) {
+        const auto [first, last] = dispatcher_.running_.equal_range(request_.request_id);
+        const auto found =
+            std::find_if(first, last, [this](const auto& entry) { return entry.second == this; });
+        if (found != last) {
             dispatcher_.running_.erase(found);
         }
     }
@@ -334,16 +336,18 @@
 }
 
 const run_terms* target_dispatcher::terms_of_run(const std::string& request_id) const {
-    const auto found = running_.find(request_id);
-    return found == running_.end() ? nullptr : &found->second->terms();
+    const auto [first, last] = running_.equal_range(request_id);
+    const auto retry =
+        std::find_if(first, last, [](const auto& entry) { return entry.second->terms().is_retry; });
+    const auto found = retry == last ? first : retry;
+    return found == last ? nullptr : &found->second->terms();
 }
 
 void target_dispatcher::report_call_result(const std::string& request_id,
                                            downstream_state downstream) {
-    const auto found = running_.find(request_id);
-    if (found != running_.end()) {
-        found->second->report_call_result(downstream);
-    }
+    const auto [first, last] = running_.equal_range(request_id);
+    std::for_each(first, last,
+                  [&](const auto& entry) { entry.second->report_call_result(downstream); });
 }
 
 bool target_dispatcher::is_busy_for(const run_terms& terms) const {
--- a/libs/proxy/src/target_dispatcher.hpp
+++ b/libs/proxy/src/target_dispatcher.hpp
@@ -57,11 +57,11 @@
                                                                    attempt_handler on_event);
 
     /// Returns the terms of the run with this request id, during which the target makes a call.
-    /// Null if no such run is in progress.
+    /// Null if no such run is in progress. Of several runs with the id, a retry is preferred.
     const run_terms* terms_of_run(const std::string& request_id) const;
 
-    /// Reports that a call made by the target during the run with this request id has ended, and
-    /// what it showed of the downstream services.
+    /// Reports that a call made by the target during a run with this request id has ended, and
+    /// what it showed of the downstream services. It counts for all runs with the id.
     void report_call_result(const std::string& request_id, downstream_state downstream);
 
     /// Sets the number of slots that the target declares.
@@ -129,8 +129,9 @@
     admission admission_;
     downstream_limiter downstream_limiter_;
     std::unordered_map<call_id, run*> runs_;
-    /// Running requests by id; used to find the parent run of a call that the target makes.
-    std::unordered_map<std::string, run*> running_;
+    /// Running requests by id; used to find the parent run of a call that the target makes. An id
+    /// names a request, of which several runs may be in progress.
+    std::unordered_multimap<std::string, run*> running_;
     std::uint64_t next_call_ = 1;
     std::vector<pending_refusal> pending_refusals_;
     /// Fires when refusals are to be delivered or when the deadline of a queued request has passed.
--- a/libs/proxy/tests/whole_path_test.cpp
+++ b/libs/proxy/tests/whole_path_test.cpp
@@ -317,3 +317,23 @@
     site.run_until([&] { return uv_hrtime() > later; });
     CHECK(site.reached(0) == hanging.size());
 }
+
+TEST_CASE("a call counts for its run although another run with the same id has ended") {
+    two_machine_site site;
+    reply first;
+    site.send(first, "/read/hang");
+    REQUIRE(site.run_until([&] { return site.reached(0) == 1; }));
+    CHECK(site.ask("/read/other").status == 200);
+    site.caller_id = "caller-1.1";
+    CHECK(site.ask("/write/shed").status == 503);
+    const auto asked_of_other = site.reached(1);
+
+    http1::response_head failure;
+    failure.status = 500;
+    failure.headers = {{"id", "caller-1"}, {"stamp", "s"}};
+    site.targets[0]->requests[0]->respond(failure, "");
+    REQUIRE(site.run_until([&] { return first.is_finished; }));
+    // A run whose call found no room is not repeated.
+    CHECK(first.status == 500);
+    CHECK(site.reached(1) == asked_of_other);
+}
