Keep no replaced values of the registry's records, and pass on those newer than a listing

Cause: the replica kept the last 2,000 changes with their whole values, also those that a later change of the key had replaced: a bound in number, not in bytes. Another node needs only the last state of each key.

The replica remembers which keys have changed last and takes their values from what is published, so that its size is that of the published records. Nodes that lack older changes get everything, as before. The same index mends two things found by reading, since a record is now indexed by its own revision: one that a listing holds beyond its revision was never passed on to nodes that poll from that revision, and after a restore it was left out of the difference from the former position.

'the changes that are kept are bounded' counted 2,000 changes of one key, which are one now: it counts 2,000 keys, the same bound.

--- a/libs/proxy/include/trefoil/proxy/registry_replica.hpp
+++ b/libs/proxy/include/trefoil/proxy/registry_replica.hpp
@@ -3,10 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <trefoil/proxy/registry.hpp>
@@ -30,13 +31,15 @@
 
 /// Copy of the published records. It merges what several sources send, the registry and other
 /// nodes, in any order: of two records with one key it keeps the one with the higher revision. It
-/// also keeps the latest changes, and returns everything to nodes that lack older ones.
+/// also remembers which keys have changed last, and returns everything to nodes that lack older
+/// changes. Values that have been replaced are not kept, so that its size is that of what is
+/// published, whatever the number of changes.
 ///
 /// Revisions are compared within an era only. The copy takes over a newer era as a whole and then
 /// ignores what comes from an older one.
 class registry_replica {
 public:
-    /// Maximum number of changes that are kept.
+    /// Maximum number of keys whose last change is remembered.
     static constexpr std::size_t max_changes = 2000;
 
     /// Merges changes that lead to the revision. Returns those that were not known, in their order.
@@ -63,7 +66,8 @@
     /// Number of merged records so far that were older than what was known of their key.
     std::size_t ignored_records() const { return ignored_records_; }
 
-    /// Returns what a node lacks that is at the given revision; nothing if it lacks nothing.
+    /// Returns what a node lacks that is at the given revision; nothing if it lacks nothing. Of
+    /// several changes of a key it holds the last one.
     registry_difference changes_since(const registry_position& from) const;
     /// The same for a node that is in the copy's era.
     registry_difference changes_since(std::uint64_t revision) const {
@@ -80,16 +84,16 @@
     /// Takes over a newer era. Returns what differs from the records before.
     std::vector<registry_record> begin_era(registry_difference difference);
     registry_difference everything() const;
-    /// The changes after the revision; all of them have to be kept.
+    /// The changes after the revision; all of them have to be remembered.
     registry_difference kept_changes_since(std::uint64_t revision) const;
-    /// Drops the changes up to the revision, which all records contain.
+    /// Forgets the changes up to the revision, which all records contain.
     void forget_changes(std::uint64_t revision);
 
     std::map<std::string, registry_record> records_;
-    /// Revisions of the removals among the kept changes.
+    /// Revisions of the removals among the remembered changes.
     std::unordered_map<std::string, std::uint64_t> removals_;
-    /// The latest changes, by ascending revision.
-    std::deque<registry_record> changes_;
+    /// The last change of each key, as revision and key, by ascending revision.
+    std::set<std::pair<std::uint64_t, std::string>> changes_;
     std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     /// The position before the present era, and what differed from there when it began: for nodes
@@ -99,7 +103,7 @@
     /// Revision at which the present era was taken over.
     std::uint64_t first_revision_ = 0;
     std::size_t ignored_records_ = 0;
-    /// All changes after this revision are kept.
+    /// All changes after this revision are remembered.
     std::uint64_t oldest_revision_ = 0;
 };
 
--- a/libs/proxy/src/registry_replica.cpp
+++ b/libs/proxy/src/registry_replica.cpp
@@ -27,6 +27,8 @@
 }
 
 void registry_replica::store(const registry_record& record) {
+    changes_.erase({last_change(record.key), record.key});
+    changes_.insert({record.revision, record.key});
     if (record.is_removal) {
         records_.erase(record.key);
         removals_[record.key] = record.revision;
@@ -43,15 +45,10 @@
             return true;
         }
         store(change);
-        changes_.push_back(change);
         return false;
     });
-    const auto is_older = [](const registry_record& one, const registry_record& other) {
-        return one.revision < other.revision;
-    };
-    std::stable_sort(changes_.begin(), changes_.end(), is_older);
     if (changes_.size() > max_changes) {
-        forget_changes(changes_[changes_.size() - max_changes - 1].revision);
+        forget_changes(std::next(changes_.rbegin(), max_changes)->first);
     }
     revision_ = std::max(revision_, revision);
     return changes;
@@ -82,9 +79,10 @@
 
 void registry_replica::forget_changes(std::uint64_t revision) {
     oldest_revision_ = std::max(oldest_revision_, revision);
-    std::erase_if(changes_, [&](const registry_record& change) {
-        return change.revision <= oldest_revision_;
-    });
+    if (oldest_revision_ > first_revision_) {
+        era_changes_.clear();
+    }
+    std::erase_if(changes_, [&](const auto& change) { return change.first <= oldest_revision_; });
     std::erase_if(removals_,
                   [&](const auto& removal) { return removal.second <= oldest_revision_; });
 }
@@ -108,13 +106,20 @@
     if (difference.is_complete) {
         records_.clear();
     }
+    era_changes_.clear();
     std::vector<registry_record> changes;
+    std::set<std::string> named;
     for (auto& record : difference.records) {
         store(record);
+        named.insert(record.key);
         const auto known = former.find(record.key);
         const bool is_same = known != former.end() && !record.is_removal &&
                              known->second.value == record.value &&
                              known->second.created == record.created;
+        // A node at the former position may lack what came to this one with a revision beyond it.
+        if (is_same && known->second.revision > former_position_.revision) {
+            era_changes_.push_back(record);
+        }
         if (known != former.end()) {
             former.erase(known);
         }
@@ -127,17 +132,21 @@
             changes.push_back({key, {}, difference.revision, 0, true});
         }
     }
+    removals_.clear();
+    changes_.clear();
     // Records that the difference doesn't name keep their content, not the revisions of before.
     for (auto& [key, record] : records_) {
-        record.revision = std::min(record.revision, difference.revision);
+        if (!named.contains(key)) {
+            record.revision = std::min(record.revision, difference.revision);
+        } else if (record.revision > difference.revision) {
+            changes_.insert({record.revision, key});
+        }
     }
-    removals_.clear();
-    changes_.clear();
     era_ = difference.era;
     revision_ = difference.revision;
     first_revision_ = difference.revision;
     oldest_revision_ = difference.revision;
-    era_changes_ = changes;
+    era_changes_.insert(era_changes_.end(), changes.begin(), changes.end());
     return changes;
 }
 
@@ -146,9 +155,9 @@
     if (found != records_.end()) {
         found->second.value = in_force.value;
     }
-    const auto has_key = [&](const registry_record& record) { return record.key == in_force.key; };
-    std::erase_if(era_changes_, has_key);
-    std::erase_if(changes_, has_key);
+    std::erase_if(era_changes_,
+                  [&](const registry_record& record) { return record.key == in_force.key; });
+    changes_.erase({last_change(in_force.key), in_force.key});
 }
 
 registry_difference registry_replica::everything() const {
@@ -161,8 +170,14 @@
 
 registry_difference registry_replica::kept_changes_since(std::uint64_t revision) const {
     registry_difference difference{false, {}, revision_, era_};
-    std::copy_if(changes_.begin(), changes_.end(), std::back_inserter(difference.records),
-                 [&](const registry_record& change) { return change.revision > revision; });
+    const auto first = changes_.lower_bound({revision + 1, {}});
+    std::transform(
+        first, changes_.end(), std::back_inserter(difference.records), [&](const auto& change) {
+            const auto& [changed_at, key] = change;
+            const auto present = records_.find(key);
+            return present != records_.end() ? present->second
+                                             : registry_record{key, {}, changed_at, 0, true};
+        });
     return difference;
 }
 
--- a/libs/proxy/tests/registry_replica_test.cpp
+++ b/libs/proxy/tests/registry_replica_test.cpp
@@ -66,11 +66,42 @@
     CHECK(replica.changes_since(0).records.size() == 2);
 }
 
+TEST_CASE("changes of a record replace each other, so that they don't fill the memory") {
+    auto replica = replica_at_10();
+    const auto last = 10 + 2 * registry_replica::max_changes;
+    for (std::uint64_t revision = 11; revision <= last; ++revision) {
+        replica.merge_changes({put("a", revision)}, revision);
+        replica.merge_changes({revision % 2 == 0 ? removal("b", revision) : put("b", revision)},
+                              revision);
+    }
+    CHECK(replica.changes_since(10) ==
+          registry_difference{false, {put("a", last), removal("b", last)}, last});
+    CHECK(replica.changes_since(9).is_complete);
+}
+
+TEST_CASE("a record that is newer than the listing it came with is passed on") {
+    registry_replica reader;
+    reader.merge_all({put("a", 4), put("b", 12)}, 10);
+    reader.merge_changes({put("b", 12)}, 12);
+    CHECK(reader.changes_since(10) == registry_difference{false, {put("b", 12)}, 12});
+    CHECK(reader.changes_since(9).is_complete);
+}
+
+TEST_CASE("a record that a reader had before its revision is passed on after a restore") {
+    registry_replica reader;
+    reader.merge_all({put("a", 4), put("b", 12)}, 10);
+    auto node = replica_at_10();
+    reader.merge({true, {put("a", 4), put("b", 12)}, 11, 1});
+    node.merge(reader.changes_since(node.position()));
+    const auto all = node.changes_since(0).records;
+    CHECK(std::find(all.begin(), all.end(), put("b", 12)) != all.end());
+}
+
 TEST_CASE("the changes that are kept are bounded") {
     auto replica = replica_at_10();
     for (std::uint64_t revision = 11; revision < 11 + 2 * registry_replica::max_changes;
          ++revision) {
-        replica.merge_changes({put("a", revision)}, revision);
+        replica.merge_changes({put("a" + std::to_string(revision), revision)}, revision);
     }
     const auto last = replica.revision();
     CHECK(replica.changes_since(11).is_complete);
