Let route names hold any bytes between nodes

From reading (review): a name with a space couldn't be decoded by the next node, so requests of that route were refused on other machines; a name with a line break would have ended its header field. Names are percent-encoded between nodes; plain ones stay as they are, so old and new nodes understand each other. peer_message_test, 'a route whose name holds spaces ...': not decoded before.

--- a/libs/proxy/src/peer_message.cpp
+++ b/libs/proxy/src/peer_message.cpp
@@ -35,6 +35,33 @@
     return value;
 }
 
+bool is_plain(unsigned char c) {
+    return c > ' ' && c < 0x7F && c != '%';
+}
+
+/// Encodes a route's name, which may hold any bytes, as the value of a header field without spaces.
+std::string encode_name(std::string_view name) {
+    std::string out;
+    for (const unsigned char c : name) {
+        out += is_plain(c) ? std::string(1, static_cast<char>(c)) : fmt::format("%{:02X}", c);
+    }
+    return out;
+}
+
+std::string decode_name(std::string_view text) {
+    std::string out;
+    while (!text.empty()) {
+        unsigned value = 0;
+        const auto digits = text.substr(1, 2);
+        const auto* end = digits.data() + digits.size();
+        const bool is_encoded = text.front() == '%' && digits.size() == 2 &&
+                                std::from_chars(digits.data(), end, value, 16).ptr == end;
+        out += is_encoded ? static_cast<char>(value) : text.front();
+        text.remove_prefix(is_encoded ? 3 : 1);
+    }
+    return out;
+}
+
 std::optional<refusal> refusal_named(std::string_view name) {
     for (const auto reason : all_refusals()) {
         if (name_of(reason) == name) {
@@ -60,7 +87,7 @@
     return fmt::format("{} {} {} {} {} {} {}", terms.priority, terms.request_bucket,
                        terms.repeats == repeatability::at_most_once ? 1 : 0,
                        terms.is_nested ? 1 : 0, terms.is_retry ? 1 : 0,
-                       whole_ms(terms.useful_time).count(), terms.route);
+                       whole_ms(terms.useful_time).count(), encode_name(terms.route));
 }
 
 std::optional<run_terms> decode_terms(std::string_view text) {
@@ -83,7 +110,7 @@
     terms.is_nested = numbers[3] != 0;
     terms.is_retry = numbers[4] != 0;
     terms.useful_time = std::chrono::milliseconds(numbers[5]);
-    terms.route = std::string((*parts)[6]);
+    terms.route = decode_name((*parts)[6]);
     return terms;
 }
 
--- a/libs/proxy/tests/peer_message_test.cpp
+++ b/libs/proxy/tests/peer_message_test.cpp
@@ -36,6 +36,18 @@
     CHECK(decode_terms(encode_terms(terms)) == terms);
 }
 
+TEST_CASE("a route whose name holds spaces or other bytes is known to the next node") {
+    for (const std::string name : {"two words", " ", "", "100%41 %", "caf\xC3\xA9", "a\r\nb: c"}) {
+        run_terms terms;
+        terms.route = name;
+        const auto text = encode_terms(terms);
+        CHECK(text.find_first_of("\r\n") == std::string::npos);
+        const auto decoded = decode_terms(text);
+        REQUIRE(decoded.has_value());
+        CHECK(decoded->route == name);
+    }
+}
+
 TEST_CASE("malformed terms are refused") {
     CHECK_FALSE(decode_terms(""));
     CHECK_FALSE(decode_terms("1 2 3"));
