Find routes whose host the configuration writes in capitals

From reading (review): hosts of requests were compared in lower case with hosts of routes as written, so such a route was never found. route_table_test, 'a host that ... capitals is found': failed before.

--- a/libs/traffic/src/route_table.cpp
+++ b/libs/traffic/src/route_table.cpp
@@ -17,7 +17,7 @@
 route_table::route_table(traffic_config config)
     : config_(std::make_shared<const traffic_config>(std::move(config))) {
     for (const auto& entry : config_->routes) {
-        by_host_[entry.host].push_back(&entry);
+        by_host_[normalised_host(entry.host)].push_back(&entry);
     }
     for (auto& [host, routes] : by_host_) {
         std::stable_sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
--- a/libs/traffic/tests/route_table_test.cpp
+++ b/libs/traffic/tests/route_table_test.cpp
@@ -41,6 +41,13 @@
     CHECK(found_route_name(table, "c.example", "/x/") == "");
 }
 
+TEST_CASE("a host that the configuration writes in capitals is found") {
+    traffic_config config;
+    config.routes = {make_route("r", "Clinic.Example", "/")};
+    CHECK(found_route_name(route_table(config), "clinic.example", "/1") == "r");
+    CHECK(found_route_name(route_table(config), "CLINIC.example:80", "/1") == "r");
+}
+
 TEST_CASE("a route stays valid after its table is gone") {
     std::shared_ptr<const route> held;
     {
