Bound the positions that a new rotation skips

From reading (review): the start of a rotation stepped through up to the sum of its weights, so that with weights in the billions the process stood still for seconds.

--- a/libs/traffic/src/weighted_round_robin.cpp
+++ b/libs/traffic/src/weighted_round_robin.cpp
@@ -6,6 +6,12 @@
 #include <trefoil/base/hash.hpp>
 
 namespace trefoil {
+namespace {
+
+/// A rotation starts within its first positions, as each one that is skipped takes time.
+constexpr std::uint64_t max_skipped_requests = 10'000;
+
+} // namespace
 
 const service_name& weighted_round_robin::next(const route& entry) {
     if (entry.services.size() == 1) {
@@ -35,7 +41,8 @@
     const auto total = std::accumulate(
         state.services.begin(), state.services.end(), std::uint64_t{0},
         [](std::uint64_t sum, const weighted_service& part) { return sum + part.weight; });
-    const auto skipped = total == 0 ? 0 : mix_hash(seed_, stable_hash(entry.name)) % total;
+    const auto positions = std::min(total, max_skipped_requests);
+    const auto skipped = positions == 0 ? 0 : mix_hash(seed_, stable_hash(entry.name)) % positions;
     for (std::uint64_t i = 0; i < skipped; ++i) {
         advance(state);
     }
--- a/libs/traffic/tests/route_table_test.cpp
+++ b/libs/traffic/tests/route_table_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <map>
 
 #include <trefoil/traffic/route_table.hpp>
@@ -58,6 +59,20 @@
     CHECK(held->name == "r");
 }
 
+TEST_CASE("a split with large weights does not hold up its first request") {
+    auto split = make_route("r", "a", "/");
+    split.services = {{service_name("s"), 3'000'000'000U}, {service_name("t"), 1'000'000'000U}};
+    std::map<std::string, int> counts;
+    const auto started = std::chrono::steady_clock::now();
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        weighted_round_robin rotation(seed);
+        ++counts[rotation.next(split).str()];
+    }
+    CHECK(std::chrono::steady_clock::now() - started < 2s);
+    CHECK(counts["t"] > 10);
+    CHECK(counts["t"] < 40);
+}
+
 TEST_CASE("services of a split route get their weights") {
     auto split = make_route("r", "a", "/");
     split.services = {{service_name("s"), 90}, {service_name("t"), 10}};
