Let no bytes of another answer complete one that broke off

What callers would see: a whole success with its stamp and length, whose body ends in the bytes of another answer (MIXED). A target breaks an answer off within its body, and a second or a late answer stands behind the piece: its first bytes were read as the rest of the body.

Order tells it: where bytes follow the answer in the same read, none of a status line may stand within its body or across its end. And a head within the body that names a request of this connection is another answer, whatever follows. A body that merely speaks of HTTP is passed on. A status line in a discarded body is now seen across reads, too, which held requests up to the timeout.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -41,8 +41,8 @@
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
-    /// The response is in part that to another request: a status line stands within its head, or
-    /// within a response that is discarded.
+    /// The response holds a part of another one, before its own head or within its body, or a
+    /// response that is discarded broke off in front of it.
     mixed,
 };
 
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -51,6 +51,8 @@
     bool keep_alive = false;
     /// True if bytes that were read together with the message follow it.
     bool is_followed = false;
+    /// The first of these bytes, at most 16.
+    std::string next_bytes = {};
 
     friend bool operator==(const message_end&, const message_end&) = default;
 };
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -33,30 +33,16 @@
     return find_header(headers, "connection").find("lose") != std::string_view::npos;
 }
 
-/// True if the text contains the start of a status line up to its status.
-bool contains_status_line(std::string_view text) {
-    constexpr std::string_view version = "HTTP/1.";
-    /// Minor version, space and status.
-    constexpr std::string_view rest = "0 000";
-    const auto matches = [](char found, char pattern) {
-        return pattern == '0' ? found >= '0' && found <= '9' : found == pattern;
-    };
-    for (auto at = text.find(version); at != std::string_view::npos; at = text.find(version, at)) {
-        at += version.size();
-        const auto follows = text.substr(at, rest.size());
-        if (std::equal(follows.begin(), follows.end(), rest.begin(), rest.end(), matches)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /// True if the head begins with a part of another one: where that part ends within the reason or
 /// the value of a field, the status line of the second head continues it.
 bool is_mixed(const response_head& head) {
-    return contains_status_line(head.reason) ||
-           std::any_of(head.headers.begin(), head.headers.end(),
-                       [](const http_header& field) { return contains_status_line(field.value); });
+    const auto holds_status_line = [](std::string_view text) {
+        return find_status_line(text) != std::string_view::npos;
+    };
+    return holds_status_line(head.reason) ||
+           std::any_of(head.headers.begin(), head.headers.end(), [&](const http_header& field) {
+               return holds_status_line(field.value);
+           });
 }
 
 } // namespace
@@ -137,6 +123,7 @@
 }
 
 void client::impl::connection::on_head(response_head& head) {
+    body_.reset();
     if (head.status / 100 == 1) {
         discards_answer_ = true;
         return;
@@ -164,11 +151,22 @@
 }
 
 void client::impl::connection::on_body(body_piece& piece) {
-    if (!discards_answer_) {
-        exchange_->emit(std::move(piece));
-    } else if (contains_status_line(piece.bytes)) {
+    if (identity_) {
+        body_.feed(piece.bytes);
+    }
+    if (discards_answer_ ? body_.has_status_line() : holds_another_answer()) {
         fail(answer_fault::mixed);
+    } else if (!discards_answer_) {
+        exchange_->emit(std::move(piece));
+    }
+}
+
+bool client::impl::connection::holds_another_answer() const {
+    if (!body_.has_status_line()) {
+        return false;
     }
+    const auto named = body_.field(identity_->field);
+    return !named.empty() && has_carried(named);
 }
 
 void client::impl::connection::on_message_end(const message_end& end) {
@@ -176,6 +174,10 @@
         discards_answer_ = false;
         return;
     }
+    if (end.is_followed && (body_.has_status_line() || body_.goes_on_in(end.next_bytes))) {
+        fail(answer_fault::mixed);
+        return;
+    }
     is_answer_complete_ = true;
     auto* finished = exchange_;
     is_reusable_ =
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -19,6 +19,8 @@
 #include <trefoil/http1/message_parser.hpp>
 #include <trefoil/http1/tcp_stream.hpp>
 
+#include "embedded_response.hpp"
+
 namespace trefoil::http1 {
 
 /// The pool. Connections refer to it weakly, since they may outlive it for the rest of an exchange.
@@ -139,6 +141,8 @@
     void handle_events(std::vector<response_event> events);
     void on_head(response_head& head);
     void on_body(body_piece& piece);
+    /// True if a head that names a request of this connection stands within the body.
+    bool holds_another_answer() const;
     void on_message_end(const message_end& end);
     void fail(exchange_failure failure);
     /// Fails the exchange because of its response.
@@ -163,6 +167,8 @@
     bool has_answer_bytes_ = false;
     /// True once the head of the expected response has arrived.
     bool is_answer_begun_ = false;
+    /// The body that is being read, whether it is passed on or discarded.
+    embedded_response_finder body_;
     std::size_t bytes_before_answer_ = 0;
     std::uint64_t request_started_ = 0;
     std::chrono::milliseconds acknowledgement_timeout_{0};
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -76,6 +76,9 @@
     bool is_in_head() const { return is_in_message_ && !has_head_; }
 
 private:
+    /// Number of bytes behind a message that its end tells of.
+    static constexpr std::size_t max_next_bytes = 16;
+
     static parser_core& self(http_parser* parser) {
         return *static_cast<parser_core*>(parser->data);
     }
@@ -85,7 +88,9 @@
     std::size_t feed_up_to_message_end(std::string_view bytes) {
         const auto parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
         if (resume_after_message()) {
-            std::get<message_end>(events_->back()).is_followed = parsed < bytes.size();
+            auto& end = std::get<message_end>(events_->back());
+            end.is_followed = parsed < bytes.size();
+            end.next_bytes = bytes.substr(parsed, max_next_bytes);
         } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parsed != bytes.size()) {
             fail(*events_);
         }
--- a/libs/proxy/tests/scripted_target.hpp
+++ b/libs/proxy/tests/scripted_target.hpp
@@ -1,6 +1,7 @@
 // A target of a test that sends whatever bytes the test asks for, at any time.
 #pragma once
 
+#include <csignal>
 #include <cstddef>
 #include <functional>
 #include <list>
@@ -36,6 +37,8 @@
 
     scripted_target(uv_loop_t* loop, const endpoint& where, request_handler on_request)
         : loop_(loop), on_request_(std::move(on_request)), listener_(new uv_tcp_t) {
+        // It writes to connections that the other side may have reset.
+        std::signal(SIGPIPE, SIG_IGN);
         uv_tcp_init(loop, listener_);
         listener_->data = this;
         sockaddr_in address{};
