Refine which heads are taken for mixed or foreign ones

A request without an id got a late answer without one, since the two empty ids were equal. And each answer of a target with a field such as 'x-upstream: HTTP/1.1 200 OK' became a 502: where a piece of a head stands in front of another, the fields before the cut come again behind it, so that is asked for now.

--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -34,14 +34,24 @@
 }
 
 /// True if the head begins with a part of another one: where that part ends within the reason or
-/// the value of a field, the status line of the second head continues it.
+/// the value of a field, the status line of the second head continues it, and fields that stood
+/// before come again.
 bool is_mixed(const response_head& head) {
     const auto holds_status_line = [](std::string_view text) {
         return find_status_line(text) != std::string_view::npos;
     };
-    return holds_status_line(head.reason) ||
-           std::any_of(head.headers.begin(), head.headers.end(), [&](const http_header& field) {
-               return holds_status_line(field.value);
+    if (holds_status_line(head.reason)) {
+        return true;
+    }
+    const auto& fields = head.headers;
+    const auto cut = std::find_if(fields.begin(), fields.end(), [&](const http_header& field) {
+        return holds_status_line(field.value);
+    });
+    return cut != fields.end() &&
+           std::any_of(fields.begin(), cut + 1, [&](const http_header& before) {
+               return std::any_of(cut + 1, fields.end(), [&](const http_header& after) {
+                   return after.name == before.name;
+               });
            });
 }
 
@@ -124,14 +134,14 @@
 
 void client::impl::connection::on_head(response_head& head) {
     body_.reset();
-    if (head.status / 100 == 1) {
-        discards_answer_ = true;
-        return;
-    }
     if (is_mixed(head)) {
         fail(answer_fault::mixed);
         return;
     }
+    if (head.status / 100 == 1) {
+        discards_answer_ = true;
+        return;
+    }
     const auto cause = cause_to_discard(head);
     discards_answer_ = cause.has_value();
     if (discards_answer_) {
@@ -199,11 +209,8 @@
         return std::nullopt;
     }
     const auto named = find_header(head.headers, identity_->field);
-    if (named == identity_->id) {
-        return std::nullopt;
-    }
     if (!named.empty()) {
-        return discard_cause::foreign_id;
+        return named == identity_->id ? std::nullopt : std::optional(discard_cause::foreign_id);
     }
     const bool is_only_request = use_.request == 1;
     return is_only_request ? std::nullopt : std::optional(discard_cause::no_id);
--- a/libs/proxy/tests/extra_answer_order_test.cpp
+++ b/libs/proxy/tests/extra_answer_order_test.cpp
@@ -174,6 +174,38 @@
     }
 }
 
+TEST_CASE("a part of an extra answer without a body does not hold up the next answer") {
+    for (const int status : {100, 103, 204, 304}) {
+        for (const std::size_t own_size : {0U, 60U}) {
+            const auto extra = fmt::format("HTTP/1.1 {} Some\r\nid: caller-1\r\n\r\n", status);
+            for (std::size_t size = 1; size <= extra.size(); ++size) {
+                CAPTURE(status);
+                CAPTURE(own_size);
+                CAPTURE(size);
+                scene s;
+                s.first_answer = first_text;
+                s.steps_on_first = {{5ms, extra.substr(0, size)}};
+                s.steps_on_own = {{9ms, answer_text(500, "caller-2", body_of("own", own_size))}};
+                s.ask_first();
+                const auto began = uv_hrtime();
+                const auto got = s.ask_second();
+                check_legit(got, {{500, body_of("own", own_size)}});
+                // Held until the route's timeout although all bytes were there.
+                CHECK((uv_hrtime() - began) / 1'000'000 < 400);
+            }
+        }
+    }
+}
+
+TEST_CASE("a late answer without an id is not that of a request without an id") {
+    scene s;
+    s.first_answer = first_text;
+    s.steps_on_first = {{5ms, answer_text(200, "", "first")}};
+    s.steps_on_own = {{9ms, answer_text(500, "", "own")}};
+    s.ask_first();
+    check_legit(s.ask_second(""), {{500, "own"}});
+}
+
 TEST_CASE(
     "an answer whose status line comes in two reads behind a cut extra answer is not waited for") {
     scene s;
@@ -311,3 +343,13 @@
         }
     }
 }
+
+TEST_CASE("a field whose value holds a status line is passed on") {
+    scene s;
+    s.first_answer = first_text;
+    s.steps_on_own = {{5ms, "HTTP/1.1 200 N\r\nid: caller-2\r\nstamp: s\r\n"
+                            "x-upstream: HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"}};
+    s.ask_first();
+    const auto got = s.ask_second();
+    CHECK(got.status == 200);
+}
