Let nothing of one message reach the next: trailer fields spoiled the next head of a connection

A caller beside the target got the line ": " between the fields of a 200; one on another machine got 502 for a request that had run with success. Requests after one with a trailer field were passed on with such a line.

Cause: the callback for values noted that a value had been read, also for trailer fields, and the start of a message did not reset the note. What the parser has read of a message is now one struct that the start and the end of a message replace as a whole, and http_parser is initialised anew for each message.

--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -23,21 +23,20 @@
     using head_filler = void (*)(Head&, const http_parser&);
 
     parser_core(http_parser_type type, std::size_t max_head_bytes, head_filler fill)
-        : max_head_bytes_(max_head_bytes), fill_(fill) {
+        : type_(type), max_head_bytes_(max_head_bytes), fill_(fill) {
         http_parser_init(&parser_, type);
         parser_.data = this;
         http_parser_settings_init(&settings_);
         settings_.on_message_begin = [](http_parser* p) { return self(p).begin(); };
         settings_.on_url = [](http_parser* p, const char* at, std::size_t length) {
-            return self(p).append(self(p).first_line_, at, length);
+            return self(p).append(self(p).message_.first_line, at, length);
         };
         settings_.on_status = settings_.on_url;
         settings_.on_header_field = [](http_parser* p, const char* at, std::size_t length) {
             return self(p).add_name({at, length});
         };
         settings_.on_header_value = [](http_parser* p, const char* at, std::size_t length) {
-            self(p).is_in_value_ = true;
-            return self(p).append(self(p).value_, at, length);
+            return self(p).add_value({at, length});
         };
         settings_.on_headers_complete = [](http_parser* p) { return self(p).complete_head(); };
         settings_.on_body = [](http_parser* p, const char* at, std::size_t length) {
@@ -66,16 +65,30 @@
         http_parser_execute(&parser_, &settings_, nullptr, 0);
         resume_after_message();
         events_ = nullptr;
-        if (is_in_message_) {
+        if (message_.has_begun) {
             has_failed_ = true;
             events.push_back(parse_failure::truncated);
         }
     }
 
     void expect_no_body() { skips_body_ = true; }
-    bool is_in_head() const { return is_in_message_ && !has_head_; }
+    bool is_in_head() const { return message_.has_begun && !message_.has_head; }
 
 private:
+    /// What has been read of the current message.
+    struct message_state {
+        std::string first_line;
+        /// The field that is being read.
+        std::string name;
+        std::string value;
+        std::vector<http_header> headers;
+        /// Size of the head or, behind the body, of the trailer section so far.
+        std::size_t section_bytes = 0;
+        bool is_in_value = false;
+        bool has_begun = false;
+        bool has_head = false;
+    };
+
     static parser_core& self(http_parser* parser) {
         return *static_cast<parser_core*>(parser->data);
     }
@@ -92,61 +105,71 @@
         return parsed;
     }
 
-    /// Resumes the parser if complete_message() has paused it. Returns false if it was not paused.
+    /// Resets the parser for the next message if complete_message() has paused it. Returns false if
+    /// it was not paused.
     bool resume_after_message() {
         const bool is_paused = HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
         if (is_paused) {
-            http_parser_pause(&parser_, 0);
+            http_parser_init(&parser_, type_);
         }
         return is_paused;
     }
 
     void fail(std::vector<Event>& events) {
         has_failed_ = true;
-        events.push_back(head_bytes_ > max_head_bytes_ ? parse_failure::head_too_large
-                                                       : parse_failure::malformed);
+        events.push_back(message_.section_bytes > max_head_bytes_ ? parse_failure::head_too_large
+                                                                  : parse_failure::malformed);
     }
 
     int begin() {
-        is_in_message_ = true;
-        has_head_ = false;
-        head_bytes_ = 0;
-        first_line_.clear();
-        headers_.clear();
+        message_ = {};
+        message_.has_begun = true;
         return 0;
     }
 
-    /// Appends to a part of the head. Returns a non-zero value, which makes http_parser stop, if
-    /// the head exceeds its limit.
+    /// Counts bytes of the head or of the trailer section. Returns a non-zero value, which makes
+    /// http_parser stop, if the section exceeds the limit.
+    int count(std::size_t bytes) {
+        message_.section_bytes += bytes;
+        return message_.section_bytes > max_head_bytes_ ? 1 : 0;
+    }
+
+    /// Appends to a part of the head and counts the bytes.
     int append(std::string& to, const char* at, std::size_t length) {
-        if (has_head_) {
-            return 0;
-        }
-        head_bytes_ += length;
         to.append(at, length);
-        return head_bytes_ > max_head_bytes_ ? 1 : 0;
+        return count(length);
     }
 
-    /// Appends to the name of a header field, and stores the previous field if it is complete.
+    /// Appends to the name of a header field, and stores the previous field if it is complete. The
+    /// fields of a trailer section are discarded (RFC 9110 6.5.1).
     int add_name(std::string_view part) {
-        if (has_head_) {
-            return 0;
+        if (message_.has_head) {
+            return count(part.size());
         }
         store_header();
-        return append(name_, part.data(), part.size());
+        return append(message_.name, part.data(), part.size());
+    }
+
+    int add_value(std::string_view part) {
+        if (message_.has_head) {
+            return count(part.size());
+        }
+        message_.is_in_value = true;
+        return append(message_.value, part.data(), part.size());
     }
 
     void store_header() {
-        if (!is_in_value_) {
+        if (!message_.is_in_value) {
             return;
         }
-        std::transform(name_.begin(), name_.end(), name_.begin(), [](unsigned char c) {
+        auto& name = message_.name;
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
             return static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
         });
-        headers_.push_back({std::move(name_), std::move(value_)});
-        name_.clear();
-        value_.clear();
-        is_in_value_ = false;
+        message_.headers.push_back({std::move(name), std::move(message_.value)});
+        message_.name.clear();
+        message_.value.clear();
+        message_.is_in_value = false;
     }
 
     /// True for a response that is followed by the final one (1xx).
@@ -161,17 +184,17 @@
     /// Emits the head. Returns 1 to make http_parser skip the body.
     int complete_head() {
         store_header();
-        has_head_ = true;
+        message_.has_head = true;
+        message_.section_bytes = 0;
         // Protocol upgrades are not supported, so bytes after the message belong to the next one.
         parser_.upgrade = 0;
         Head head;
-        head.headers = std::move(headers_);
-        headers_.clear();
+        head.headers = std::move(message_.headers);
         fill_(head, parser_);
         if constexpr (requires { head.target; }) {
-            head.target = first_line_;
+            head.target = std::move(message_.first_line);
         } else {
-            head.reason = first_line_;
+            head.reason = std::move(message_.first_line);
         }
         if (skips_body_) {
             head.framing = body_framing::none;
@@ -182,7 +205,7 @@
     }
 
     int complete_message() {
-        is_in_message_ = false;
+        message_ = {};
         events_->push_back(message_end{http_should_keep_alive(&parser_) != 0});
         http_parser_pause(&parser_, 1);
         return 0;
@@ -190,19 +213,14 @@
 
     http_parser parser_{};
     http_parser_settings settings_{};
+    http_parser_type type_;
     std::size_t max_head_bytes_;
     head_filler fill_;
     std::vector<Event>* events_ = nullptr;
-    std::string first_line_;
-    std::string name_;
-    std::string value_;
-    std::vector<http_header> headers_;
-    std::size_t head_bytes_ = 0;
-    bool is_in_value_ = false;
-    bool has_head_ = false;
-    bool is_in_message_ = false;
+    message_state message_;
     /// Set after a parse error. Further input is ignored.
     bool has_failed_ = false;
+    /// Set until the next final response, which has no body.
     bool skips_body_ = false;
 };
 
--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -6,6 +6,8 @@
 #include <trefoil/http1/header_rules.hpp>
 #include <trefoil/http1/message_parser.hpp>
 
+#include "message_sequence.hpp"
+
 using namespace trefoil;
 using namespace trefoil::http1;
 
@@ -60,6 +62,23 @@
     return all;
 }
 
+/// Returns the header fields and the ends of messages as text.
+template <class Event>
+std::string describe_fields(const std::vector<Event>& events) {
+    std::string all;
+    for (const auto& event : events) {
+        std::visit(overloaded{[](const body_piece&) {}, [&](const message_end&) { all += "end; "; },
+                              [&](parse_failure) { all += "failure; "; },
+                              [&](const auto& head) {
+                                  for (const auto& field : head.headers) {
+                                      all += field.name + ": " + field.value + "; ";
+                                  }
+                              }},
+                   event);
+    }
+    return all;
+}
+
 } // namespace
 
 TEST_CASE("pipelined requests are read one after the other, in pieces of any size") {
@@ -75,6 +94,39 @@
                         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n") == "POST /; [abc]; [de]; end; ");
 }
 
+TEST_CASE("no trailer field of a message reaches the next one of the connection") {
+    const std::string trailers = "x-first: 1\r\nx-second: two\r\n";
+    for (const std::size_t piece : {1000U, 7U, 1U}) {
+        CAPTURE(piece);
+        request_parser requests(400);
+        const auto request_events = feed_in_pieces<request_event>(
+            requests,
+            "POST /1 HTTP/1.1\r\na: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" +
+                trailers + "\r\nGET /2 HTTP/1.1\r\nb: 2\r\nc: 3\r\n\r\n",
+            piece);
+        CHECK(describe_fields(request_events) ==
+              "a: 1; transfer-encoding: chunked; end; b: 2; c: 3; end; ");
+        response_parser answers;
+        const auto answer_events = feed_in_pieces<response_event>(
+            answers,
+            "HTTP/1.1 200 OK\r\na: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" +
+                trailers + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            piece);
+        CHECK(describe_fields(answer_events) ==
+              "a: 1; transfer-encoding: chunked; end; content-length: 0; end; ");
+    }
+}
+
+TEST_CASE("a trailer section without end is refused at the size limit of a head") {
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    const std::string field = "x: " + std::string(96, 'a') + "\r\n";
+    CHECK(read_requests(head + field + field + field + field) == "POST /; ");
+    CHECK(read_requests(head + field + field + field + field + field) == "POST /; too large; ");
+    CHECK(read_requests(head + "x: " + std::string(500, 'a')) == "POST /; too large; ");
+    CHECK(read_requests(head + std::string(500, 'x')) == "POST /; too large; ");
+    CHECK(read_requests(head + field + field + field + "\r\n" + head) == "POST /; end; POST /; ");
+}
+
 TEST_CASE("requests with two framings are refused") {
     CHECK(read_requests("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
                         "chunked\r\n\r\n0\r\n\r\n")
