End an answer with status 1xx, 204 or 304 at its head, and pass on the length that a 304 names

Callers saw: the answer 304 with a Content-Length, as HTTP allows, became 504 after the timeout of the route; so did 204 with either framing field. With an interim response that names a length the answer became 502.

Cause: http_parser reads the body that the fields name unless it is told that there is none, which was done only for answers to HEAD; our head said `none` at the same time. The parser now tells it for these statuses (RFC 9112 6.3). A 304 keeps its Content-Length (RFC 9110 8.6), marked as naming a body that is omitted; its Transfer-Encoding is removed, as any recipient may, and 1xx and 204 name no framing.

--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -34,6 +34,9 @@
     body_framing framing = body_framing::none;
     /// Length of the body in bytes if the framing is `length`.
     std::uint64_t content_length = 0;
+    /// True if no body follows, but the framing is `length` if the response names the length of the
+    /// body that is omitted (status 304).
+    bool omits_body = false;
 
     friend bool operator==(const response_head&, const response_head&) = default;
 };
@@ -61,13 +64,16 @@
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
 using response_event = std::variant<response_head, body_piece, message_end, parse_failure>;
 
+/// True for a status whose responses never have a body (RFC 9112 6.3): 1xx, 204 and 304.
+bool has_no_body(int status);
+
 /// Serializes a request head. The framing fields are generated from `framing` and
 /// `content_length`; the caller must have removed the hop-by-hop fields from `headers`.
 std::string to_bytes(const request_head& head);
 
 /// Serializes a response head in the same way. With framing `none`, it adds `content-length: 0`
-/// unless the status (1xx, 204 or 304) excludes a body. If `closes` is true, it adds
-/// `connection: close`.
+/// unless the status excludes a body. Responses with status 1xx or 204 name no framing (RFC 9110
+/// 8.6). If `closes` is true, it adds `connection: close`.
 std::string to_bytes(const response_head& head, bool closes);
 
 /// Encodes one chunk of a chunked body. `bytes` must not be empty, as an empty chunk ends the body.
--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -67,7 +67,8 @@
 
     virtual void set_handlers(served_handlers handlers) = 0;
 
-    /// Sends a complete response. The framing of the head is replaced by the length of the body.
+    /// Sends a complete response. The framing of the head is replaced by the length of the body,
+    /// unless the response omits its body.
     virtual void respond(response_head head, std::string_view body) = 0;
 
     /// Starts a streamed response. A body that is delimited by the end of its connection is sent
--- a/libs/http1/src/message.cpp
+++ b/libs/http1/src/message.cpp
@@ -19,12 +19,21 @@
     }
 }
 
-bool has_no_body_by_status(int status) {
-    return status == 204 || status == 304 || status / 100 == 1;
+/// Returns the framing that a response head names.
+body_framing named_framing(const response_head& head) {
+    if (has_no_body(head.status) && head.status != 304) {
+        return body_framing::none;
+    }
+    const bool is_empty = head.framing == body_framing::none && !has_no_body(head.status);
+    return is_empty ? body_framing::length : head.framing;
 }
 
 } // namespace
 
+bool has_no_body(int status) {
+    return status == 204 || status == 304 || status / 100 == 1;
+}
+
 std::string to_bytes(const request_head& head) {
     std::string out;
     out.reserve(512);
@@ -40,11 +49,8 @@
     out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
     out.append(head.reason).append("\r\n");
     append_headers(out, head.headers);
-    if (head.framing == body_framing::none && !has_no_body_by_status(head.status)) {
-        append_framing(out, body_framing::length, 0);
-    } else {
-        append_framing(out, head.framing, head.content_length);
-    }
+    append_framing(out, named_framing(head),
+                   head.framing == body_framing::length ? head.content_length : 0);
     if (closes) {
         out.append("connection: close\r\n");
     }
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -17,7 +17,7 @@
     return parser.content_length != unknown_length && parser.content_length != 0;
 }
 
-void fill_request(request_head& head, const http_parser& parser) {
+bool fill_request(request_head& head, const http_parser& parser) {
     head.method = http_method_str(static_cast<http_method>(parser.method));
     if ((parser.flags & F_CHUNKED) != 0) {
         head.framing = body_framing::chunked;
@@ -25,21 +25,30 @@
         head.framing = body_framing::length;
         head.content_length = parser.content_length;
     }
+    return true;
 }
 
-void fill_response(response_head& head, const http_parser& parser) {
+bool fill_response(response_head& head, const http_parser& parser) {
     head.status = static_cast<int>(parser.status_code);
-    const bool has_no_body = head.status / 100 == 1 || head.status == 204 || head.status == 304;
-    if (has_no_body) {
-        head.framing = body_framing::none;
-    } else if ((parser.flags & F_CHUNKED) != 0) {
+    const bool has_named_length =
+        parser.content_length != unknown_length && (parser.flags & F_CHUNKED) == 0;
+    if (has_no_body(head.status)) {
+        head.omits_body = head.status == 304;
+        if (head.omits_body && has_named_length) {
+            head.framing = body_framing::length;
+            head.content_length = parser.content_length;
+        }
+        return false;
+    }
+    if ((parser.flags & F_CHUNKED) != 0) {
         head.framing = body_framing::chunked;
-    } else if (parser.content_length == unknown_length) {
-        head.framing = body_framing::connection_close;
-    } else {
+    } else if (has_named_length) {
         head.framing = body_framing::length;
         head.content_length = parser.content_length;
+    } else {
+        head.framing = body_framing::connection_close;
     }
+    return true;
 }
 
 } // namespace
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -16,11 +16,11 @@
 
 /// Converts the callbacks of http_parser into events of type Event. It collects the header fields
 /// of a message into a Head; the `fill` function then sets the members that depend on the type of
-/// the message.
+/// the message, and returns false if no body follows the head.
 template <class Head, class Event>
 class parser_core {
 public:
-    using head_filler = void (*)(Head&, const http_parser&);
+    using head_filler = bool (*)(Head&, const http_parser&);
 
     parser_core(http_parser_type type, std::size_t max_head_bytes, head_filler fill)
         : type_(type), max_head_bytes_(max_head_bytes), fill_(fill) {
@@ -190,18 +190,18 @@
         parser_.upgrade = 0;
         Head head;
         head.headers = std::move(message_.headers);
-        fill_(head, parser_);
+        bool may_have_body = fill_(head, parser_);
         if constexpr (requires { head.target; }) {
             head.target = std::move(message_.first_line);
         } else {
             head.reason = std::move(message_.first_line);
         }
-        if (skips_body_) {
+        if (!is_interim_response(head) && std::exchange(skips_body_, false)) {
             head.framing = body_framing::none;
+            may_have_body = false;
         }
-        const bool is_interim = is_interim_response(head);
         events_->push_back(std::move(head));
-        return !is_interim && std::exchange(skips_body_, false) ? 1 : 0;
+        return may_have_body ? 0 : 1;
     }
 
     int complete_message() {
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -373,16 +373,18 @@
 }
 
 void server::impl::request::respond(response_head head, std::string_view body) {
-    const bool has_framing = head.framing != body_framing::none || !body.empty();
-    head.framing = has_framing ? body_framing::length : body_framing::none;
-    head.content_length = body.size();
+    if (!head.omits_body) {
+        const bool has_framing = head.framing != body_framing::none || !body.empty();
+        head.framing = has_framing ? body_framing::length : body_framing::none;
+        head.content_length = body.size();
+    }
     const auto owner = owner_.lock();
     if (owner == nullptr || is_answered_) {
         return;
     }
     closes_connection_ = closes_connection_ || owner->will_close();
     auto bytes = to_bytes(head, closes_connection_);
-    if (head_.method != "HEAD") {
+    if (head_.method != "HEAD" && !has_no_body(head.status)) {
         bytes += body;
     }
     is_answered_ = true;
--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -164,6 +164,29 @@
     }
 }
 
+TEST_CASE("an answer without a body by its status ends with its head, whatever it says of a body") {
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string status : {"100", "103", "204", "304"}) {
+        for (const std::string framing :
+             {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            CAPTURE(status);
+            CAPTURE(framing);
+            CHECK(read_answers("HTTP/1.1 " + status + " -\r\n" + framing + "\r\n" + next) ==
+                  status + "; end; 200; [ok]; end; ");
+        }
+    }
+}
+
+TEST_CASE("an answer with status 205 has the body that its fields name") {
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(read_answers("HTTP/1.1 205 -\r\nContent-Length: 0\r\n\r\n" + next) ==
+          "205; end; 200; [ok]; end; ");
+    CHECK(read_answers("HTTP/1.1 205 -\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + next) ==
+          "205; end; 200; [ok]; end; ");
+    CHECK(read_answers("HTTP/1.1 205 -\r\nContent-Length: 3\r\n\r\nabc" + next) ==
+          "205; [abc]; end; 200; [ok]; end; ");
+}
+
 TEST_CASE("bytes that are not a valid response are reported") {
     CHECK(read_answers("garbage") == "bad; ");
     CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage") ==
--- a/libs/proxy/tests/answer_form_test.cpp
+++ b/libs/proxy/tests/answer_form_test.cpp
@@ -65,3 +65,62 @@
         }
     }
 }
+
+TEST_CASE("an answer with status 304 arrives with the length that it names and no body") {
+    scripted_site scripted;
+    scripted.status = "304 Not Modified";
+    scripted.answer_rest = "content-length: 10\r\n\r\n";
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        for (int i = 0; i < 2; ++i) {
+            const auto got = scripted.ask(machine);
+            CHECK(got.status == 304);
+            CHECK(field(got, "content-length") == "10");
+            CHECK(got.body.empty());
+            CHECK_FALSE(got.has_failed);
+        }
+    }
+    scripted.answer_rest = "\r\n";
+    CHECK(field(scripted.ask(1), "content-length").empty());
+}
+
+TEST_CASE("an answer with status 204 or 205 arrives without a body, whatever framing it names") {
+    scripted_site scripted;
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        scripted.status = "204 No Content";
+        for (const std::string framing :
+             {"", "content-length: 10\r\n", "transfer-encoding: chunked\r\n"}) {
+            CAPTURE(framing);
+            scripted.answer_rest = framing + "\r\n";
+            const auto got = scripted.ask(machine);
+            CHECK(got.status == 204);
+            CHECK(field(got, "content-length").empty());
+            CHECK(field(got, "transfer-encoding").empty());
+            CHECK_FALSE(got.has_failed);
+        }
+        scripted.status = "205 Reset Content";
+        for (const std::string rest :
+             {"content-length: 0\r\n\r\n", "transfer-encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+            CAPTURE(rest);
+            scripted.answer_rest = rest;
+            const auto got = scripted.ask(machine);
+            CHECK(got.status == 205);
+            CHECK(field(got, "content-length") == "0");
+            CHECK(got.body.empty());
+            CHECK_FALSE(got.has_failed);
+        }
+    }
+}
+
+TEST_CASE("an interim response that names a length does not hold up the answer") {
+    scripted_site scripted;
+    scripted.status = "103 Early Hints\r\ncontent-length: 10\r\n\r\nHTTP/1.1 200 OK";
+    scripted.answer_rest = "content-length: 4\r\n\r\nbody";
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        const auto got = scripted.ask(machine);
+        CHECK(got.status == 200);
+        CHECK(got.body == "body");
+    }
+}
