Pass on the length that an answer to HEAD names, and send no body with one, streamed or not

Callers saw: the answer to HEAD had Content-Length 0 whatever the target had named, or 0 where it had named none; a caller that takes the size of a resource from it was told a wrong one.

Cause: the head of an answer to HEAD was read as one without framing, which is sent as an empty body. It now keeps its length beside the mark that the body is omitted, as that of a 304 does. A Transfer-Encoding is removed, so such an answer names no length (RFC 9112 6.1). By reading: begin() and write() of the server sent the body of a streamed response also for HEAD, 204 and 304; no call of ours did this.

answer_form_test, two cases, beside the target and on another machine: 18 wrong checks before; connection_test, twelve forms: 8 wrong before; none now.

--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -35,7 +35,7 @@
     /// Length of the body in bytes if the framing is `length`.
     std::uint64_t content_length = 0;
     /// True if no body follows, but the framing is `length` if the response names the length of the
-    /// body that is omitted (status 304).
+    /// body that is omitted (response to a HEAD request, or status 304).
     bool omits_body = false;
 
     friend bool operator==(const response_head&, const response_head&) = default;
@@ -67,13 +67,17 @@
 /// True for a status whose responses never have a body (RFC 9112 6.3): 1xx, 204 and 304.
 bool has_no_body(int status);
 
+/// True for a status whose responses may have a Content-Length or Transfer-Encoding field (RFC 9110
+/// 8.6, RFC 9112 6.1): all except 1xx and 204.
+bool may_name_framing(int status);
+
 /// Serializes a request head. The framing fields are generated from `framing` and
 /// `content_length`; the caller must have removed the hop-by-hop fields from `headers`.
 std::string to_bytes(const request_head& head);
 
 /// Serializes a response head in the same way. With framing `none`, it adds `content-length: 0`
-/// unless the status excludes a body. Responses with status 1xx or 204 name no framing (RFC 9110
-/// 8.6). If `closes` is true, it adds `connection: close`.
+/// unless the status excludes a body or the body is omitted. If `closes` is true, it adds
+/// `connection: close`.
 std::string to_bytes(const response_head& head, bool closes);
 
 /// Encodes one chunk of a chunked body. `bytes` must not be empty, as an empty chunk ends the body.
--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -68,11 +68,13 @@
     virtual void set_handlers(served_handlers handlers) = 0;
 
     /// Sends a complete response. The framing of the head is replaced by the length of the body,
-    /// unless the response omits its body.
+    /// unless the response omits its body. The body is not sent if the request has method HEAD or
+    /// if the status excludes a body.
     virtual void respond(response_head head, std::string_view body) = 0;
 
     /// Starts a streamed response. A body that is delimited by the end of its connection is sent
-    /// with chunked framing instead.
+    /// with chunked framing instead. Nothing of the body is sent if the request has method HEAD or
+    /// if the status excludes a body.
     virtual void begin(response_head head) = 0;
     /// Sends the next bytes of the response body.
     virtual void write(std::string_view bytes) = 0;
--- a/libs/http1/src/message.cpp
+++ b/libs/http1/src/message.cpp
@@ -21,17 +21,22 @@
 
 /// Returns the framing that a response head names.
 body_framing named_framing(const response_head& head) {
-    if (has_no_body(head.status) && head.status != 304) {
+    if (!may_name_framing(head.status)) {
         return body_framing::none;
     }
-    const bool is_empty = head.framing == body_framing::none && !has_no_body(head.status);
-    return is_empty ? body_framing::length : head.framing;
+    const bool has_empty_body =
+        head.framing == body_framing::none && !head.omits_body && !has_no_body(head.status);
+    return has_empty_body ? body_framing::length : head.framing;
 }
 
 } // namespace
 
 bool has_no_body(int status) {
-    return status == 204 || status == 304 || status / 100 == 1;
+    return status == 304 || !may_name_framing(status);
+}
+
+bool may_name_framing(int status) {
+    return status != 204 && status / 100 != 1;
 }
 
 std::string to_bytes(const request_head& head) {
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -17,7 +17,7 @@
     return parser.content_length != unknown_length && parser.content_length != 0;
 }
 
-bool fill_request(request_head& head, const http_parser& parser) {
+bool fill_request(request_head& head, const http_parser& parser, bool) {
     head.method = http_method_str(static_cast<http_method>(parser.method));
     if ((parser.flags & F_CHUNKED) != 0) {
         head.framing = body_framing::chunked;
@@ -28,27 +28,21 @@
     return true;
 }
 
-bool fill_response(response_head& head, const http_parser& parser) {
+bool fill_response(response_head& head, const http_parser& parser, bool omits_body) {
     head.status = static_cast<int>(parser.status_code);
-    const bool has_named_length =
-        parser.content_length != unknown_length && (parser.flags & F_CHUNKED) == 0;
-    if (has_no_body(head.status)) {
-        head.omits_body = head.status == 304;
-        if (head.omits_body && has_named_length) {
-            head.framing = body_framing::length;
-            head.content_length = parser.content_length;
-        }
+    if (!may_name_framing(head.status)) {
         return false;
     }
+    head.omits_body = omits_body || head.status == 304;
     if ((parser.flags & F_CHUNKED) != 0) {
-        head.framing = body_framing::chunked;
-    } else if (has_named_length) {
+        head.framing = head.omits_body ? body_framing::none : body_framing::chunked;
+    } else if (parser.content_length != unknown_length) {
         head.framing = body_framing::length;
         head.content_length = parser.content_length;
     } else {
-        head.framing = body_framing::connection_close;
+        head.framing = head.omits_body ? body_framing::none : body_framing::connection_close;
     }
-    return true;
+    return !head.omits_body;
 }
 
 } // namespace
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -16,11 +16,11 @@
 
 /// Converts the callbacks of http_parser into events of type Event. It collects the header fields
 /// of a message into a Head; the `fill` function then sets the members that depend on the type of
-/// the message, and returns false if no body follows the head.
+/// the message, and returns false if no body follows the head. With `omits_body` none follows.
 template <class Head, class Event>
 class parser_core {
 public:
-    using head_filler = bool (*)(Head&, const http_parser&);
+    using head_filler = bool (*)(Head&, const http_parser&, bool omits_body);
 
     parser_core(http_parser_type type, std::size_t max_head_bytes, head_filler fill)
         : type_(type), max_head_bytes_(max_head_bytes), fill_(fill) {
@@ -190,16 +190,13 @@
         parser_.upgrade = 0;
         Head head;
         head.headers = std::move(message_.headers);
-        bool may_have_body = fill_(head, parser_);
+        const bool may_have_body = fill_(head, parser_, skips_body_);
         if constexpr (requires { head.target; }) {
             head.target = std::move(message_.first_line);
         } else {
             head.reason = std::move(message_.first_line);
         }
-        if (!is_interim_response(head) && std::exchange(skips_body_, false)) {
-            head.framing = body_framing::none;
-            may_have_body = false;
-        }
+        skips_body_ = skips_body_ && is_interim_response(head);
         events_->push_back(std::move(head));
         return may_have_body ? 0 : 1;
     }
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -106,6 +106,9 @@
             copy();
         }
     }
+    bool may_have_body(const response_head& answer) const {
+        return head_.method != "HEAD" && !has_no_body(answer.status);
+    }
     /// Sends output of the oldest request; queues output of later ones.
     void emit(const std::string& bytes);
 
@@ -115,6 +118,8 @@
     std::string output_;
     served_handlers handlers_;
     body_framing answer_framing_ = body_framing::none;
+    /// False if the response that begin() started has no body.
+    bool sends_body_ = true;
     bool is_body_complete_ = false;
     bool is_answered_ = false;
     bool closes_connection_ = false;
@@ -373,6 +378,7 @@
 }
 
 void server::impl::request::respond(response_head head, std::string_view body) {
+    head.omits_body = head.omits_body && !may_have_body(head);
     if (!head.omits_body) {
         const bool has_framing = head.framing != body_framing::none || !body.empty();
         head.framing = has_framing ? body_framing::length : body_framing::none;
@@ -384,7 +390,7 @@
     }
     closes_connection_ = closes_connection_ || owner->will_close();
     auto bytes = to_bytes(head, closes_connection_);
-    if (head_.method != "HEAD" && !has_no_body(head.status)) {
+    if (may_have_body(head)) {
         bytes += body;
     }
     is_answered_ = true;
@@ -397,7 +403,12 @@
     if (owner == nullptr) {
         return;
     }
-    if (head.framing == body_framing::connection_close) {
+    sends_body_ = may_have_body(head);
+    if (!sends_body_) {
+        head.omits_body = true;
+        head.framing =
+            head.framing == body_framing::length ? body_framing::length : body_framing::none;
+    } else if (head.framing == body_framing::connection_close) {
         head.framing = body_framing::chunked;
     }
     answer_framing_ = head.framing;
@@ -406,7 +417,7 @@
 }
 
 void server::impl::request::write(std::string_view bytes) {
-    if (!bytes.empty()) {
+    if (sends_body_ && !bytes.empty()) {
         emit(answer_framing_ == body_framing::chunked ? to_chunk(bytes) : std::string(bytes));
     }
 }
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -540,6 +540,61 @@
     CHECK(local_server.requests[1]->head().target == "/2");
 }
 
+TEST_CASE(
+    "a response that may have no body is sent without one, so that the next one is in place") {
+    struct form {
+        std::string method;
+        int status;
+        body_framing framing;
+        bool is_streamed;
+        std::string fields;
+    };
+    const std::string length = "content-length: 3\r\n";
+    const std::vector<form> forms = {
+        {"HEAD", 200, body_framing::length, true, length},
+        {"HEAD", 200, body_framing::chunked, true, ""},
+        {"HEAD", 200, body_framing::connection_close, true, ""},
+        {"HEAD", 200, body_framing::length, false, length},
+        {"HEAD", 404, body_framing::none, false, length},
+        {"HEAD", 304, body_framing::length, true, length},
+        {"GET", 304, body_framing::length, true, length},
+        {"GET", 304, body_framing::chunked, true, ""},
+        {"GET", 304, body_framing::length, false, length},
+        {"GET", 204, body_framing::length, true, ""},
+        {"GET", 204, body_framing::connection_close, true, ""},
+        {"GET", 204, body_framing::length, false, ""},
+    };
+    for (const auto& one : forms) {
+        CAPTURE(one.method);
+        CAPTURE(one.status);
+        CAPTURE(static_cast<int>(one.framing));
+        CAPTURE(one.is_streamed);
+        test_loop event_loop;
+        test_server local_server(&event_loop.loop);
+        raw_client sender(&event_loop.loop, local_server.listen_address);
+        sender.stream->write(one.method + " /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+        REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+        response_head head;
+        head.status = one.status;
+        head.reason = "-";
+        head.framing = one.framing;
+        head.content_length = 3;
+        auto& first = *local_server.requests[0];
+        if (one.is_streamed) {
+            first.begin(head);
+            first.write("abc");
+            first.finish();
+        } else {
+            first.respond(head, "abc");
+        }
+        local_server.answer(1, "second");
+        REQUIRE(event_loop.run_until(
+            [&] { return sender.received.find("second") != std::string::npos; }));
+        CHECK(sender.received == "HTTP/1.1 " + std::to_string(one.status) + " -\r\n" + one.fields +
+                                     "\r\nHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond");
+    }
+}
+
 TEST_CASE("an aborted streamed response lacks its last chunk") {
     test_loop event_loop;
     test_server local_server(&event_loop.loop);
--- a/libs/proxy/tests/answer_form_test.cpp
+++ b/libs/proxy/tests/answer_form_test.cpp
@@ -124,3 +124,44 @@
         CHECK(got.body == "body");
     }
 }
+
+TEST_CASE("an answer to HEAD arrives with the length that it names and no body") {
+    scripted_site scripted;
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        for (const std::string status : {"200 OK", "304 Not Modified", "404 Not Found"}) {
+            for (const std::string length : {"10", "0", "5000000000"}) {
+                CAPTURE(status);
+                CAPTURE(length);
+                scripted.status = status;
+                scripted.answer_rest = "content-length: " + length + "\r\n\r\n";
+                const auto got = scripted.ask(machine, "HEAD");
+                CHECK(got.status == std::stoi(status));
+                CHECK(field(got, "content-length") == length);
+                CHECK(got.body.empty());
+                CHECK_FALSE(got.has_failed);
+            }
+        }
+    }
+}
+
+TEST_CASE("an answer to HEAD without a length arrives without one") {
+    scripted_site scripted;
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        for (const std::string status : {"200 OK", "204 No Content", "304 Not Modified"}) {
+            for (const std::string framing : {"", "transfer-encoding: chunked\r\n"}) {
+                CAPTURE(status);
+                CAPTURE(framing);
+                scripted.status = status;
+                scripted.answer_rest = framing + "\r\n";
+                const auto got = scripted.ask(machine, "HEAD");
+                CHECK(got.status == std::stoi(status));
+                CHECK(field(got, "content-length").empty());
+                CHECK(field(got, "transfer-encoding").empty());
+                CHECK(got.body.empty());
+                CHECK_FALSE(got.has_failed);
+            }
+        }
+    }
+}
