--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -1,6 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
+
+#include <fmt/format.h>
 
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
@@ -99,7 +103,7 @@
     for (const std::size_t piece : {1000U, 7U, 1U}) {
         CAPTURE(piece);
         request_parser requests(400);
-        const auto request_events = feed_in_pieces<request_event>(
+        const auto request_events = parse_connection<request_event>(
             requests,
             "POST /1 HTTP/1.1\r\na: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" +
                 trailers + "\r\nGET /2 HTTP/1.1\r\nb: 2\r\nc: 3\r\n\r\n",
@@ -107,7 +111,7 @@
         CHECK(describe_fields(request_events) ==
               "a: 1; transfer-encoding: chunked; end; b: 2; c: 3; end; ");
         response_parser answers;
-        const auto answer_events = feed_in_pieces<response_event>(
+        const auto answer_events = parse_connection<response_event>(
             answers,
             "HTTP/1.1 200 OK\r\na: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" +
                 trailers + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
@@ -171,8 +175,8 @@
              {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
             CAPTURE(status);
             CAPTURE(framing);
-            CHECK(read_answers("HTTP/1.1 " + status + " -\r\n" + framing + "\r\n" + next) ==
-                  status + "; end; 200; [ok]; end; ");
+            const auto bytes = fmt::format("HTTP/1.1 {} -\r\n{}\r\n{}", status, framing, next);
+            CHECK(read_answers(bytes) == status + "; end; 200; [ok]; end; ");
         }
     }
 }
@@ -193,6 +197,125 @@
           "200; [a]; end; bad; ");
 }
 
+namespace {
+
+/// Requests in the forms in which something of one could stay behind for the next.
+const std::vector<std::string> request_forms = {
+    "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n",
+    "\r\nHEAD /2 HTTP/1.1\r\nEmpty:\r\n\r\n",
+    "POST /3 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
+    "POST /4 HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    "POST /5 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\n\r\n",
+    "POST /6 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nx: y\r\nz: w\r\n\r\n",
+    "POST /7 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 9\r\n\r\n",
+    "POST /8 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "POST /9 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nConnection: close\r\n\r\n",
+    "POST /10 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nempty:\r\n\r\n",
+    "GET /11 HTTP/1.1\r\nConnection: close\r\n\r\n",
+    "GET /12 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+    "GET /13 HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\nab",
+    "CONNECT a:1 HTTP/1.1\r\n\r\n",
+};
+
+/// Responses of the same kind; all but the last leave the connection open.
+const std::vector<std::string> response_forms = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nEmpty:\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nx: y\r\nz: w\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 9\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 204\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n",
+    "HTTP/1.1 205 Reset\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 1\r\n\r\na",
+    "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n\r\nrest",
+};
+
+/// Calls a function for all sequences of one to three forms.
+template <class Function>
+void for_each_sequence(const std::vector<std::string>& forms, Function call) {
+    for (const auto& first : forms) {
+        call({first});
+        for (const auto& second : forms) {
+            call({first, second});
+            for (const auto& third : forms) {
+                call({first, second, third});
+            }
+        }
+    }
+}
+
+std::string joined(const std::vector<std::string>& parts) {
+    std::string all;
+    for (const auto& part : parts) {
+        all += part;
+    }
+    return all;
+}
+
+/// Removes the body of the first final response.
+void remove_first_body(std::vector<std::string>& responses) {
+    const auto found =
+        std::find_if(responses.begin(), responses.end(),
+                     [](const std::string& response) { return response.find(" 10") != 8; });
+    if (found != responses.end()) {
+        found->resize(found->find("\r\n\r\n") + 4);
+    }
+}
+
+} // namespace
+
+TEST_CASE("requests of one connection are read as each would be on a connection of its own") {
+    for_each_sequence(request_forms, [](const std::vector<std::string>& requests) {
+        std::vector<request_event> expected;
+        for (const auto& request : requests) {
+            parse_alone(expected, request, 400);
+        }
+        for (const std::size_t piece : {1U, 2U, 7U, 1000U}) {
+            CAPTURE(joined(requests));
+            CAPTURE(piece);
+            request_parser parser(400);
+            CHECK(parse_connection<request_event>(parser, joined(requests), piece) == expected);
+        }
+    });
+}
+
+TEST_CASE("responses of one connection are read as each would be on a connection of its own") {
+    for (const bool is_for_head : {false, true}) {
+        for_each_sequence(response_forms, [&](std::vector<std::string> responses) {
+            const bool is_closed_early = std::find(responses.begin(), responses.end() - 1,
+                                                   response_forms.back()) != responses.end() - 1;
+            if (is_closed_early) {
+                return;
+            }
+            if (is_for_head) {
+                remove_first_body(responses);
+            }
+            std::vector<response_event> expected;
+            bool expects_no_body = is_for_head;
+            for (const auto& response : responses) {
+                parse_alone(expected, response, expects_no_body);
+            }
+            for (const std::size_t piece : {1U, 2U, 7U, 1000U}) {
+                CAPTURE(is_for_head);
+                CAPTURE(joined(responses));
+                CAPTURE(piece);
+                response_parser parser;
+                if (is_for_head) {
+                    parser.expect_no_body();
+                }
+                CHECK(parse_connection<response_event>(parser, joined(responses), piece) ==
+                      expected);
+            }
+        });
+    }
+}
+
 TEST_CASE("fields that concern one connection are not passed on") {
     const std::vector<http_header> headers = {
         {"host", "a"},       {"connection", "close, X-Hop"}, {"x-hop", "1"},
--- a/tests/fuzz/response_fuzz.cpp
+++ b/tests/fuzz/response_fuzz.cpp
@@ -6,35 +6,37 @@
 
 #include <trefoil/http1/message_parser.hpp>
 
+#include "message_sequence.hpp"
+
 using namespace trefoil::http1;
 
-/// Feeds the input to a response parser, in pieces whose size is the first byte, and checks that
-/// nothing follows a failure and that each body piece belongs to a response.
+/// Feeds the input to a response parser and checks that nothing follows a failure, that no field
+/// lacks a name, that each body piece belongs to a response, and that each response is read as it
+/// would be on a connection of its own. The lower bits of the first byte are the size of the pieces
+/// less one; with the highest bit, the first response is one to HEAD.
 // libFuzzer requires this name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    constexpr std::uint8_t piece_mask = 0x7f;
     if (size == 0) {
         return 0;
     }
-    const std::size_t piece_bytes = 1 + data[0];
-    std::string_view rest(reinterpret_cast<const char*>(data) + 1, size - 1);
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    bool expects_no_body = data[0] > piece_mask;
     response_parser parser;
-    std::vector<response_event> events;
-    while (!rest.empty()) {
-        const auto piece = rest.substr(0, piece_bytes);
-        parser.feed(piece, events);
-        rest.remove_prefix(piece.size());
+    response_parser splitter;
+    if (expects_no_body) {
+        parser.expect_no_body();
+        splitter.expect_no_body();
+    }
+    const auto events =
+        parse_connection<response_event>(parser, bytes, 1U + (data[0] & piece_mask));
+    check_events(events);
+    std::vector<response_event> expected;
+    for (const auto message : split_messages<response_event>(splitter, bytes)) {
+        parse_alone(expected, message, expects_no_body);
     }
-    parser.finish(events);
-    bool is_in_response = false;
-    bool has_failed = false;
-    for (const auto& event : events) {
-        const bool is_body = std::holds_alternative<body_piece>(event);
-        if (has_failed || (is_body && !is_in_response)) {
-            std::abort();
-        }
-        is_in_response = is_in_response ? !std::holds_alternative<message_end>(event)
-                                        : std::holds_alternative<response_head>(event);
-        has_failed = std::holds_alternative<parse_failure>(event);
+    if (events != expected) {
+        std::abort();
     }
     return 0;
 }
