Pass on no field name with a space: http_parser permits it, HTTP/1.1 does not

Behind the name of a response's field spaces are removed, a request with one is refused with 400 (both RFC 9112 5.1), and a space within a name refuses either.

--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -75,6 +75,8 @@
     bool is_in_head() const { return message_.has_begun && !message_.has_head; }
 
 private:
+    static constexpr bool is_response = requires(Head head) { head.status; };
+
     /// What has been read of the current message.
     struct message_state {
         std::string first_line;
@@ -146,7 +148,9 @@
         if (message_.has_head) {
             return count(part.size());
         }
-        store_header();
+        if (!store_header()) {
+            return 1;
+        }
         return append(message_.name, part.data(), part.size());
     }
 
@@ -158,11 +162,19 @@
         return append(message_.value, part.data(), part.size());
     }
 
-    void store_header() {
+    /// Stores the field that has been read, if any. Returns false if its name contains a space,
+    /// which http_parser permits. Behind the name a response may have some (RFC 9112 5.1).
+    bool store_header() {
         if (!message_.is_in_value) {
-            return;
+            return true;
         }
         auto& name = message_.name;
+        if constexpr (is_response) {
+            name.erase(name.find_last_not_of(' ') + 1);
+        }
+        if (name.empty() || name.find(' ') != std::string::npos) {
+            return false;
+        }
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
             return static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
         });
@@ -170,20 +182,25 @@
         message_.name.clear();
         message_.value.clear();
         message_.is_in_value = false;
+        return true;
     }
 
     /// True for a response that is followed by the final one (1xx).
     static bool is_interim_response(const Head& head) {
-        if constexpr (requires { head.status; }) {
+        if constexpr (is_response) {
             return head.status / 100 == 1;
         } else {
             return false;
         }
     }
 
-    /// Emits the head. Returns 1 to make http_parser skip the body.
+    /// Emits the head. Returns 1 to make http_parser skip the body, and another non-zero value to
+    /// make it stop.
     int complete_head() {
-        store_header();
+        constexpr int stop = -1;
+        if (!store_header()) {
+            return stop;
+        }
         message_.has_head = true;
         message_.section_bytes = 0;
         // Protocol upgrades are not supported, so bytes after the message belong to the next one.
@@ -191,10 +208,10 @@
         Head head;
         head.headers = std::move(message_.headers);
         const bool may_have_body = fill_(head, parser_, skips_body_);
-        if constexpr (requires { head.target; }) {
-            head.target = std::move(message_.first_line);
-        } else {
+        if constexpr (is_response) {
             head.reason = std::move(message_.first_line);
+        } else {
+            head.target = std::move(message_.first_line);
         }
         skips_body_ = skips_body_ && is_interim_response(head);
         events_->push_back(std::move(head));
--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -168,6 +168,25 @@
     }
 }
 
+TEST_CASE("a space before the colon refuses a request and is removed from an answer") {
+    for (const std::string line : {"x : 1", "Content-Length : 0", "Transfer-Encoding : chunked"}) {
+        CAPTURE(line);
+        CHECK(read_requests("POST / HTTP/1.1\r\n" + line + "\r\na: b\r\n\r\n") == "bad; ");
+        CHECK(read_requests("POST / HTTP/1.1\r\na: b\r\n" + line + "\r\n\r\n") == "bad; ");
+    }
+    response_parser answers;
+    const auto events = parse_connection<response_event>(
+        answers, "HTTP/1.1 200 OK\r\nx  : 1\r\nContent-Length : 3\r\n\r\nabc", 1000);
+    CHECK(describe_fields(events) == "x: 1; content-length: 3; end; ");
+}
+
+TEST_CASE("a space within the name of a field refuses the message") {
+    CHECK(read_requests("GET / HTTP/1.1\r\nx y: 1\r\n\r\n") == "bad; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\nx y: 1\r\nContent-Length: 0\r\n\r\n") == "bad; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nx y: 1\r\n\r\n") == "bad; ");
+    CHECK(read_answers("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n : 1\r\n\r\n") == "bad; ");
+}
+
 TEST_CASE("an answer without a body by its status ends with its head, whatever it says of a body") {
     const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     for (const std::string status : {"100", "103", "204", "304"}) {
