--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -17,7 +17,7 @@
     return parser.content_length != unknown_length && parser.content_length != 0;
 }
 
-void fill_request(request_head& head, const http_parser& parser) {
+bool fill_request(request_head& head, const http_parser& parser, bool) {
     head.method = http_method_str(static_cast<http_method>(parser.method));
     if ((parser.flags & F_CHUNKED) != 0) {
         head.framing = body_framing::chunked;
@@ -25,21 +25,24 @@
         head.framing = body_framing::length;
         head.content_length = parser.content_length;
     }
+    return true;
 }
 
-void fill_response(response_head& head, const http_parser& parser) {
+bool fill_response(response_head& head, const http_parser& parser, bool omits_body) {
     head.status = static_cast<int>(parser.status_code);
-    const bool has_no_body = head.status / 100 == 1 || head.status == 204 || head.status == 304;
-    if (has_no_body) {
-        head.framing = body_framing::none;
-    } else if ((parser.flags & F_CHUNKED) != 0) {
-        head.framing = body_framing::chunked;
-    } else if (parser.content_length == unknown_length) {
-        head.framing = body_framing::connection_close;
-    } else {
+    if (!may_name_framing(head.status)) {
+        return false;
+    }
+    head.omits_body = omits_body || head.status == 304;
+    if ((parser.flags & F_CHUNKED) != 0) {
+        head.framing = head.omits_body ? body_framing::none : body_framing::chunked;
+    } else if (parser.content_length != unknown_length) {
         head.framing = body_framing::length;
         head.content_length = parser.content_length;
+    } else {
+        head.framing = head.omits_body ? body_framing::none : body_framing::connection_close;
     }
+    return !head.omits_body;
 }
 
 } // namespace
