Resume a long answer when the slower request ahead of it on its connection is answered

The relay pauses its source when more than 128 KiB wait for the client, also when they wait only for an earlier answer of the connection. The source was resumed by on_writable alone. When the earlier answer ended, the socket took the waiting bytes at once, so that nothing was left to drain and on_writable was never called.

The server now calls on_writable also when a request becomes the oldest one of its connection and no bytes wait for the client.

--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -185,6 +185,7 @@
         }
         last_activity_ = uv_now(owner_.loop_);
         adjust_reading();
+        notify_if_drained();
     }
 
     bool will_close() const { return owner_.closes_after_answers_; }
@@ -338,7 +339,14 @@
     void on_drained() {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
-        if (!requests_.empty()) {
+        notify_if_drained();
+    }
+
+    /// Notifies the owner of the oldest request if no response bytes are waiting. on_drained() alone
+    /// is not enough, because the socket may take at once what was queued behind an earlier
+    /// response.
+    void notify_if_drained() {
+        if (!requests_.empty() && unsent_bytes() == 0) {
             const auto first = requests_.front();
             first->notify_writable();
         }
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -518,6 +518,29 @@
     CHECK(sender.received.find("first") < sender.received.find("second"));
 }
 
+TEST_CASE("the owner of an answer behind another one is told when its waiting bytes are sent") {
+    test_loop event_loop;
+    test_server local_server(&event_loop.loop);
+    raw_client sender(&event_loop.loop, local_server.listen_address);
+    sender.stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+    bool is_writable = false;
+    local_server.requests[1]->set_handlers({{}, {}, [&] { is_writable = true; }});
+    response_head head;
+    head.status = 200;
+    head.reason = "OK";
+    head.framing = body_framing::connection_close;
+    local_server.requests[1]->begin(head);
+    local_server.requests[1]->write("second");
+    CHECK(local_server.requests[1]->unsent_bytes() > 0);
+    CHECK_FALSE(is_writable);
+    local_server.answer(0, "first");
+    REQUIRE(
+        event_loop.run_until([&] { return sender.received.find("second") != std::string::npos; }));
+    CHECK(local_server.requests[1]->unsent_bytes() == 0);
+    CHECK(is_writable);
+}
+
 TEST_CASE("a client that goes away is noticed while its request is worked on") {
     test_loop event_loop;
     test_server local_server(&event_loop.loop);
--- a/libs/proxy/tests/scripted_target.hpp
+++ b/libs/proxy/tests/scripted_target.hpp
@@ -62,6 +62,10 @@
             loop_, [this, connection, bytes = std::move(bytes)] { send(connection, bytes); });
         timer->start(delay);
     }
+    /// False once the peer has closed or reset the connection, or close() has.
+    bool is_open(std::size_t connection) const {
+        return connections_[connection]->stream != nullptr;
+    }
     void close(std::size_t connection) {
         if (auto stream = std::move(connections_[connection]->stream)) {
             stream->close_when_drained();
