--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -363,6 +363,30 @@
     CHECK(event_loop.run_until([&] { return target.is_closed(); }));
 }
 
+TEST_CASE("a connection whose answer ended while its reading was paused can be used again") {
+    test_loop event_loop;
+    raw_target target(&event_loop.loop, {ok_response("1", "a"), ok_response("2", "b")});
+    client sender(&event_loop.loop, {});
+    request_head head;
+    head.method = "GET";
+    head.target = "/";
+    bool is_complete = false;
+    std::unique_ptr<exchange> first;
+    first =
+        sender.start(target.listen_address(), head, {}, true, {}, [&](const exchange_event& event) {
+            if (std::holds_alternative<body_piece>(event)) {
+                first->pause();
+            }
+            is_complete = std::holds_alternative<message_end>(event);
+        });
+    REQUIRE(event_loop.run_until([&] { return is_complete; }));
+    exchange_record second;
+    start_request(sender, target.listen_address(), second);
+    CHECK(event_loop.run_until([&] { return second.is_finished(); }));
+    CHECK(second.body == "b");
+    CHECK(target.connections == 1);
+}
+
 namespace {
 
 /// A client whose requests can be left without an acknowledgement. Each target gets more
