End an answer that has begun when it stops past the timeout of its route

A caller whose answer had begun was kept waiting without end when the target fell silent in the middle of it, and a caller that stopped reading held its run until the connection was reset: handle_timeout did nothing once an answer had begun.

From the timeout on the answer is now checked every 100 ms. It ends, aborted so that it doesn't look complete, and with it the run

- when the target has sent nothing for 200 ms;
- when the caller has taken nothing for 5 s, by what its machine acknowledges;
- at the caller's own deadline in any case.

Before the timeout nothing changes: a target's silence ends no answer sooner. An answer that still flows goes on until the caller's deadline, also at the pace of a slow reader, whose receive window stays closed for some seconds at a time; and so does one that only waits for an earlier answer of its connection.

--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -82,6 +82,12 @@
 
     /// Number of response bytes that are buffered and not yet written to the socket.
     virtual std::size_t unsent_bytes() const = 0;
+
+    /// True if the responses to all earlier requests of the connection are complete.
+    virtual bool is_next() const = 0;
+    /// Number of bytes that the client's machine has acknowledged on the connection so far, of all
+    /// responses; zero once the connection is closed.
+    virtual std::uint64_t acknowledged_bytes() const = 0;
 };
 
 /// Listens on an address and passes each request to a handler as soon as its head is complete.
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -55,6 +55,8 @@
 
     /// Number of buffered bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const;
+    /// Number of bytes that the peer's machine has acknowledged so far.
+    std::uint64_t acknowledged_bytes() const;
     bool is_connected() const;
 
     /// Sets the TCP user timeout: unacknowledged data ends the connection after this time.
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -76,6 +76,8 @@
     void finish() override;
     void abort() override;
     std::size_t unsent_bytes() const override;
+    bool is_next() const override { return is_first_; }
+    std::uint64_t acknowledged_bytes() const override;
 
     void add_body(const std::string& bytes) {
         body_ += bytes;
@@ -190,6 +192,9 @@
 
     bool will_close() const { return owner_.closes_after_answers_; }
     std::size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
+    std::uint64_t acknowledged_bytes() const {
+        return stream_ == nullptr ? 0 : stream_->acknowledged_bytes();
+    }
 
     void adjust_reading() {
         if (stream_ == nullptr) {
@@ -342,8 +347,8 @@
         notify_if_drained();
     }
 
-    /// Notifies the owner of the oldest request if no response bytes are waiting. on_drained() alone
-    /// is not enough, because the socket may take at once what was queued behind an earlier
+    /// Notifies the owner of the oldest request if no response bytes are waiting. on_drained()
+    /// alone is not enough, because the socket may take at once what was queued behind an earlier
     /// response.
     void notify_if_drained() {
         if (!requests_.empty() && unsent_bytes() == 0) {
@@ -439,6 +444,11 @@
     return output_.size() + (owner == nullptr || !is_first_ ? 0 : owner->unsent_bytes());
 }
 
+std::uint64_t server::impl::request::acknowledged_bytes() const {
+    const auto owner = owner_.lock();
+    return owner == nullptr ? 0 : owner->acknowledged_bytes();
+}
+
 void server::impl::request::emit(const std::string& bytes) {
     const auto owner = owner_.lock();
     if (owner == nullptr) {
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include "tcp_state.hpp"
+
 namespace trefoil::http1 {
 namespace {
 
@@ -124,6 +126,7 @@
     }
 
     std::size_t unsent_bytes() const { return unsent_ + unsent_before_connect_.size(); }
+    std::uint64_t acknowledged_bytes() const { return state().acknowledged_bytes; }
     bool is_connected() const { return is_connected_; }
 
     void pause() {
@@ -188,6 +191,13 @@
         write(std::move(waiting));
     }
 
+    tcp_state state() const {
+        uv_os_fd_t socket = -1;
+        const bool is_open =
+            uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &socket) == 0;
+        return is_open ? read_tcp_state(socket) : tcp_state{};
+    }
+
     /// Reports a connect error from the event loop, after connect() has returned.
     void report_failed_connect() {
         uv_timer_start(
@@ -348,6 +358,10 @@
     return impl_->unsent_bytes();
 }
 
+std::uint64_t tcp_stream::acknowledged_bytes() const {
+    return impl_->acknowledged_bytes();
+}
+
 bool tcp_stream::is_connected() const {
     return impl_->is_connected();
 }
--- a/libs/proxy/src/call_terms.cpp
+++ b/libs/proxy/src/call_terms.cpp
@@ -65,6 +65,9 @@
         decode_milliseconds(find_header(head.headers, state.settings.header_names.remaining_time));
     const auto timeout = terms.matched_route->timeout;
     terms.response_deadline = arrived + std::min(left.value_or(timeout), timeout);
+    if (left && *left < time_point::max() - arrived) {
+        terms.caller_deadline = arrived + *left;
+    }
     terms.service = state.rotation.next(*terms.matched_route);
     state.retry_limiter.record_request(arrived, terms.service);
     set_shedding_order(state, request_id, arrived, left.value_or(timeout), terms);
--- a/libs/proxy/src/call_terms.hpp
+++ b/libs/proxy/src/call_terms.hpp
@@ -26,6 +26,8 @@
     service_name service;
     /// Deadline by the timeout of the route or the remaining time of the caller, whichever is less.
     time_point response_deadline;
+    /// Deadline by the remaining time of the caller; empty if the caller names none.
+    std::optional<time_point> caller_deadline;
     /// The id of the request during which the local target made this call.
     std::optional<std::string> parent;
     /// Priority of the whole request and its position in the shedding order within that priority.
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -26,6 +26,26 @@
 /// listed about a second after their start.
 constexpr duration no_instance_retry = 1s;
 
+/// Time between two checks of a response that is incomplete at the timeout.
+constexpr duration late_check_interval = 100ms;
+/// After the timeout, a response ends when its source has sent nothing for this long.
+constexpr duration max_late_source_pause = 200ms;
+/// The same for a client that takes nothing. The receive window of one that reads slowly is closed
+/// for some seconds at a time.
+constexpr duration max_late_client_pause = 5s;
+
+duration max_late_pause(relay_wait reason) {
+    switch (reason) {
+    case relay_wait::earlier_responses:
+        return duration::max();
+    case relay_wait::client:
+        return max_late_client_pause;
+    case relay_wait::source:
+        break;
+    }
+    return max_late_source_pause;
+}
+
 std::string ms_text(duration value) {
     return fmt::format("{:.0f}", to_ms(value));
 }
@@ -380,7 +400,7 @@
         return;
     }
     if (relay_) {
-        // The response has begun and is delivered late.
+        check_late_response();
         return;
     }
     const bool may_have_run = may_have_run_ || (attempt_ && attempt_->operation->may_have_run());
@@ -394,6 +414,23 @@
     end(call_result::timed_out, 504, "timeout");
 }
 
+void outbound_call::check_late_response() {
+    const auto now = state_.now();
+    const auto progress = relay_->progress();
+    if (late_progress_ != progress) {
+        late_progress_ = progress;
+        late_progress_since_ = now;
+    }
+    const bool is_stuck = now - late_progress_since_ >= max_late_pause(relay_->waits_for());
+    if (is_stuck || (terms_.caller_deadline && now >= *terms_.caller_deadline)) {
+        relay_->abort();
+        end(call_result::timed_out, 0, "timeout");
+        return;
+    }
+    const auto until_deadline = terms_.caller_deadline.value_or(time_point::max()) - now;
+    timer_.start(std::min(late_check_interval, until_deadline));
+}
+
 void outbound_call::refuse(refusal reason) {
     const auto priority = terms_.matched_route == nullptr ? 0 : terms_.matched_route->priority;
     const auto retry = retry_delay(retry_after_, priority, state_.random);
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -71,6 +71,9 @@
     /// there is one, otherwise sends a failure or a refusal.
     void finish_unserved();
     void handle_timeout();
+    /// Called from the timeout on while a response that has begun is incomplete. Lets it continue
+    /// as long as it advances, at most until the caller's deadline, and aborts it otherwise.
+    void check_late_response();
     void refuse(refusal reason);
     void answer(http1::response_head head);
 
@@ -111,6 +114,10 @@
 
     downstream_state downstream_ = downstream_state::none;
     std::optional<reply_relay> relay_;
+    /// How far the response was when it was last found to have advanced after the timeout, and
+    /// since when.
+    std::optional<relay_progress> late_progress_;
+    time_point late_progress_since_;
     bool is_finished_ = false;
     /// Fires at the timeout of the route or the deadline of the caller, whichever comes first.
     http1::loop_timer timer_;
--- a/libs/proxy/tests/long_answer_test.cpp
+++ b/libs/proxy/tests/long_answer_test.cpp
@@ -175,3 +175,76 @@
             [&] { return slow.is_cancelled("first") && slow.is_cancelled("long"); }));
     }
 }
+
+TEST_CASE("an answer whose target falls silent ends soon after the timeout, and not as a whole") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow;
+        pipelining_caller caller(slow, machine);
+        caller.send("long");
+        REQUIRE(slow.wait_for("long"));
+        slow.answer("long", answer_head("long", long_body_bytes) + std::string(200'000, 'x'));
+        slow.run_for(450ms);
+        CHECK_FALSE(caller.is_ended);
+        slow.run_for(650ms);
+        CHECK(caller.is_ended);
+        CHECK(caller.statuses == std::vector<int>{200});
+        CHECK(caller.complete == 0);
+        CHECK(slow.is_cancelled("long"));
+    }
+}
+
+TEST_CASE("an answer that its caller does not read ends at the caller's deadline") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow;
+        pipelining_caller caller(slow, machine);
+        caller.send("long", 1s);
+        REQUIRE(slow.wait_for("long"));
+        caller.stream->pause_reading();
+        slow.answer("long", whole_answer("long", endless_body_bytes));
+        slow.run_for(850ms);
+        CHECK_FALSE(slow.is_cancelled("long"));
+        slow.run_for(650ms);
+        CHECK(slow.is_cancelled("long"));
+        caller.stream->resume_reading();
+        CHECK(slow.site.run_until([&] { return caller.is_ended; }));
+        CHECK(caller.complete == 0);
+    }
+}
+
+TEST_CASE("an answer that still flows at the timeout is sent to its end") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow;
+        pipelining_caller caller(slow, machine);
+        caller.send("long");
+        REQUIRE(slow.wait_for("long"));
+        constexpr std::size_t pieces = 12;
+        constexpr std::size_t piece_bytes = 100'000;
+        slow.answer("long", answer_head("long", pieces * piece_bytes));
+        for (std::size_t i = 0; i < pieces; ++i) {
+            slow.answer("long", std::string(piece_bytes, 'x'));
+            slow.run_for(100ms);
+        }
+        CHECK(slow.site.run_until([&] { return caller.complete == 1 || caller.is_ended; }));
+        CHECK(caller.bodies == std::vector<std::size_t>{pieces * piece_bytes});
+        CHECK(caller.complete == 1);
+    }
+}
+
+TEST_CASE("a long answer behind a request that times out is whole") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow;
+        pipelining_caller caller(slow, machine);
+        caller.send("first");
+        caller.send("long");
+        REQUIRE(slow.wait_for("first"));
+        REQUIRE(slow.wait_for("long"));
+        slow.answer("long", whole_answer("long", endless_body_bytes));
+        CHECK(slow.site.run_until([&] { return caller.complete == 2 || caller.is_ended; }));
+        CHECK(caller.statuses == std::vector<int>{504, 200});
+        CHECK(caller.bodies == std::vector<std::size_t>{0, endless_body_bytes});
+    }
+}
