Keep the connection of a peer that reads slowly; end that of a silent one

A worker that let a long body wait for 2.5 s lost its connection, too.

Connections had a TCP user timeout of 2.5 s. Linux counts the time in which the receive window is closed, although the peer acknowledges each probe of it.

While data is unacknowledged, the stream now checks every 250 ms (first after a second) by TCP_INFO whether the window is closed and its probes are answered. If so it extends the user timeout a little, which also keeps the kernel probing about once a second. A peer that leaves a probe unanswered, and has acknowledged nothing for 2.5 s, is silent. The other cases stay with the kernel as before.

Two more limits cut off slow readers: an idle timeout that ran while the client still read an answer, and the two seconds for the rest of an answer that closes its connection. Both now only count while the client acknowledges nothing; the latter is five seconds.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -103,9 +103,10 @@
     /// not be retried needs a shorter limit, because the peer may be closing an idle connection at
     /// the same moment.
     std::chrono::milliseconds max_idle_time{60'000};
-    /// Maximum time that sent data may stay unacknowledged. The exchange fails with
-    /// exchange_failure::connection_lost when it elapses.
-    std::chrono::milliseconds acknowledgement_timeout{2500};
+    /// Maximum time that sent data may stay unacknowledged, also by a peer that is alive and does
+    /// not read. The exchange fails with exchange_failure::connection_lost when it elapses. Unset
+    /// for data that may have to wait until the peer reads: only silence of the peer ends it.
+    std::optional<std::chrono::milliseconds> acknowledgement_timeout;
     /// How a response that belongs to an earlier request on the same connection is told apart. Such
     /// a response is discarded. If unset, every response is accepted.
     std::optional<response_identity> identity;
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -1,9 +1,11 @@
 // TCP connection on a libuv loop.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,7 +36,8 @@
 };
 
 /// A TCP connection with a write buffer. The TCP user timeout and keep-alive probes end the
-/// connection within a few seconds if the peer stops acknowledging data or becomes unreachable.
+/// connection within a few seconds if the peer stops acknowledging or becomes unreachable. A peer
+/// that acknowledges may read as slowly as it likes.
 /// Destroying the stream closes the connection.
 class tcp_stream {
 public:
@@ -57,17 +60,21 @@
     std::size_t unsent_bytes() const;
     /// Number of bytes that the peer's machine has acknowledged so far.
     std::uint64_t acknowledged_bytes() const;
+    /// True if the peer's machine has not acknowledged all bytes.
+    bool has_unacknowledged_bytes() const;
     bool is_connected() const;
 
-    /// Sets the TCP user timeout: unacknowledged data ends the connection after this time.
-    void set_user_timeout(std::chrono::milliseconds timeout);
+    /// Ends the connection when data has been unacknowledged for this long, even if the peer is
+    /// alive and only keeps its receive window closed. Without a value, which is the default, only
+    /// a peer that is silent for 2.5 seconds ends it.
+    void set_user_timeout(std::optional<std::chrono::milliseconds> timeout);
 
     void pause_reading();
     void resume_reading();
 
-    /// Closes the connection once the write buffer is empty, at the latest after two seconds; a
-    /// connection that is not established is closed at once. No callback is called any more, and
-    /// the stream must not be used except to destroy it.
+    /// Closes the connection once the write buffer is empty, or when the peer has acknowledged
+    /// nothing for five seconds; a connection that is not established is closed at once. No
+    /// callback is called any more, and the stream must not be used except to destroy it.
     void close_when_drained();
 
     /// Closes the connection with a TCP reset. No callback is called any more, and the stream must
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -106,9 +106,10 @@
         }
     }
     /// Notes the start of a request, whose data must be acknowledged within the timeout.
-    void start_request(std::uint64_t now, std::chrono::milliseconds acknowledgement_timeout) {
+    void start_request(std::uint64_t now,
+                       std::optional<std::chrono::milliseconds> acknowledgement_timeout) {
         request_started_ = now;
-        acknowledgement_timeout_ = acknowledgement_timeout;
+        acknowledgement_timeout_ = acknowledgement_timeout.value_or(silence_timeout);
         stream_->set_user_timeout(acknowledgement_timeout);
     }
     bool has_answer_bytes() const { return has_answer_bytes_; }
@@ -133,6 +134,8 @@
 private:
     /// A connection is closed after this number of requests whose ids must be remembered.
     static constexpr std::size_t max_identified_requests = 1024;
+    /// A request that fails after this time, without an acknowledgement, has met a silent peer.
+    static constexpr std::chrono::milliseconds silence_timeout{2500};
 
     void on_data(std::string_view bytes);
     void on_closed(close_reason end_reason);
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -220,7 +220,8 @@
             if (now - head_started_ > static_cast<std::uint64_t>(limits.head_timeout.count())) {
                 refuse(408, "Request Timeout");
             }
-        } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count())) {
+        } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count()) &&
+                   !has_read_on(now)) {
             close();
         }
     }
@@ -341,6 +342,21 @@
         close();
     }
 
+    /// True if the client has not read all responses yet, and has read more of them since this was
+    /// last asked.
+    bool has_read_on(std::uint64_t now) {
+        if (stream_ == nullptr || !stream_->has_unacknowledged_bytes()) {
+            return false;
+        }
+        const auto acknowledged = stream_->acknowledged_bytes();
+        if (acknowledged == acknowledged_when_idle_) {
+            return false;
+        }
+        acknowledged_when_idle_ = acknowledged;
+        last_activity_ = now;
+        return true;
+    }
+
     void on_drained() {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
@@ -372,6 +388,8 @@
     /// Loop time in milliseconds of the last activity and of the start of the current head.
     std::uint64_t last_activity_;
     std::uint64_t head_started_ = 0;
+    /// Bytes that the client's machine had acknowledged when the connection was last found idle.
+    std::uint64_t acknowledged_when_idle_ = 0;
     bool is_closed_ = false;
     /// Set after an error response was queued. Further input is ignored.
     bool is_refusing_ = false;
--- a/libs/http1/src/tcp_state.cpp
+++ b/libs/http1/src/tcp_state.cpp
@@ -14,8 +14,8 @@
     if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &found, &length) != 0) {
         return {};
     }
-    return {found.tcpi_bytes_acked, found.tcpi_unacked, found.tcpi_notsent_bytes,
-            found.tcpi_probes};
+    return {found.tcpi_bytes_acked, found.tcpi_unacked, found.tcpi_notsent_bytes, found.tcpi_probes,
+            std::chrono::milliseconds(found.tcpi_last_ack_recv)};
 }
 
 } // namespace trefoil::http1
--- a/libs/http1/src/tcp_state.hpp
+++ b/libs/http1/src/tcp_state.hpp
@@ -1,6 +1,7 @@
 // The kernel's view of a TCP connection.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace trefoil::http1 {
@@ -15,6 +16,8 @@
     std::uint32_t waiting_bytes = 0;
     /// Probes of a closed receive window that were sent since the last acknowledgement.
     std::uint32_t unanswered_probes = 0;
+    /// Time since the last acknowledgement.
+    std::chrono::milliseconds since_acknowledgement{0};
 
     bool has_unacknowledged_data() const {
         return unacknowledged_segments > 0 || waiting_bytes > 0;
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -13,17 +13,28 @@
 namespace trefoil::http1 {
 namespace {
 
-/// TCP user timeout: unacknowledged data ends the connection after this time, in milliseconds.
-constexpr int user_timeout_ms = 2500;
+/// TCP user timeout, in milliseconds: data that is unacknowledged for this long ends the
+/// connection. The time in which the peer acknowledges, but keeps its receive window closed, is not
+/// counted.
+constexpr int default_user_timeout_ms = 2500;
+/// Time after which the kernel at the latest probes a receive window that stays closed, in
+/// milliseconds.
+constexpr int probe_interval_ms = 1250;
+/// Time from a write to the first check of the receive window, and between two checks while data is
+/// unacknowledged, in milliseconds.
+constexpr std::uint64_t first_window_check_ms = 1000;
+constexpr std::uint64_t window_check_interval_ms = 250;
+/// TCP user timeout of what is left in the socket of a closed connection, in milliseconds.
+constexpr int closed_user_timeout_ms = 30'000;
 /// Idle time before the first keep-alive probe and time between probes, in seconds.
 constexpr int keep_alive_idle_s = 2;
 constexpr int keep_alive_interval_s = 1;
 /// Number of unanswered probes that ends the connection.
 constexpr int keep_alive_probes = 2;
 constexpr std::size_t read_buffer_bytes = 65536;
-/// Maximum time for sending the rest of the write buffer when a connection is closed, in
-/// milliseconds.
-constexpr std::uint64_t linger_ms = 2000;
+/// When a connection is closed, the rest of the write buffer is sent as long as the peer
+/// acknowledges some of it within this time, in milliseconds.
+constexpr std::uint64_t max_drain_pause_ms = 5000;
 
 /// Returns the read buffer that all streams of the process's one loop share. They can share it,
 /// because each read is handled before the next one starts.
@@ -41,7 +52,7 @@
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(handle), &socket) != 0) {
         return;
     }
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, default_user_timeout_ms);
     set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
@@ -59,6 +70,8 @@
         handle_.data = this;
         uv_timer_init(loop, &timer_);
         timer_.data = this;
+        uv_timer_init(loop, &window_timer_);
+        window_timer_.data = this;
         connect_.data = this;
     }
 
@@ -111,22 +124,22 @@
         if (sent < bytes.size()) {
             enqueue(bytes.substr(sent));
         }
+        watch_window();
     }
 
-    void set_user_timeout(std::chrono::milliseconds timeout) {
-        const auto timeout_ms = static_cast<int>(timeout.count());
-        if (timeout_ms == user_timeout_ms_) {
-            return;
-        }
-        user_timeout_ms_ = timeout_ms;
-        uv_os_fd_t socket = -1;
-        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
-            set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+    void set_user_timeout(std::optional<std::chrono::milliseconds> timeout) {
+        allows_closed_window_ = !timeout.has_value();
+        if (!allows_closed_window_) {
+            stop_watching_window();
         }
+        apply_user_timeout(timeout ? static_cast<int>(timeout->count()) : default_user_timeout_ms);
     }
 
     std::size_t unsent_bytes() const { return unsent_ + unsent_before_connect_.size(); }
     std::uint64_t acknowledged_bytes() const { return state().acknowledged_bytes; }
+    bool has_unacknowledged_bytes() const {
+        return unsent_bytes() > 0 || state().has_unacknowledged_data();
+    }
     bool is_connected() const { return is_connected_; }
 
     void pause() {
@@ -148,12 +161,14 @@
         if (drains && is_connected_ && unsent_ > 0) {
             is_draining_ = true;
             uv_read_stop(stream());
+            acknowledged_when_checked_ = acknowledged_bytes();
             uv_timer_start(
-                &timer_, [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->close(); },
-                linger_ms, 0);
+                &timer_,
+                [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_draining(); },
+                max_drain_pause_ms, max_drain_pause_ms);
             return;
         }
-        close();
+        close_gently(drains);
     }
 
     /// Called when the owner releases the stream. Closes the handle with a TCP reset.
@@ -198,6 +213,87 @@
         return is_open ? read_tcp_state(socket) : tcp_state{};
     }
 
+    void apply_user_timeout(int timeout_ms) {
+        if (timeout_ms == user_timeout_ms_) {
+            return;
+        }
+        user_timeout_ms_ = timeout_ms;
+        uv_os_fd_t socket = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
+            set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+        }
+    }
+
+    /// Checks the receive window of the peer until all data is acknowledged.
+    void watch_window() {
+        if (is_watching_window_ || !allows_closed_window_ || is_closing_) {
+            return;
+        }
+        is_watching_window_ = true;
+        window_checked_at_ = uv_now(handle_.loop);
+        uv_timer_start(
+            &window_timer_,
+            [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_window(); },
+            first_window_check_ms, window_check_interval_ms);
+    }
+
+    void stop_watching_window() {
+        is_watching_window_ = false;
+        uv_timer_stop(&window_timer_);
+    }
+
+    /// Extends the user timeout while the peer answers the probes of its closed window: the kernel
+    /// counts the whole time since the first probe, but a peer that answers is not silent. The
+    /// kernel sends the next probe before the timeout it knows of, so a short extension also makes
+    /// it probe often.
+    void check_window() {
+        const auto now = uv_now(handle_.loop);
+        const auto seen = state();
+        const bool is_window_closed = seen.unacknowledged_segments == 0 && seen.waiting_bytes > 0;
+        if (!is_window_closed || seen.acknowledged_bytes != acknowledged_at_window_check_) {
+            acknowledged_at_window_check_ = seen.acknowledged_bytes;
+            window_closed_since_ = window_checked_at_;
+            apply_user_timeout(default_user_timeout_ms);
+        } else if (seen.unanswered_probes > 0 &&
+                   seen.since_acknowledgement.count() >= default_user_timeout_ms) {
+            stop_watching_window();
+            fail();
+            return;
+        } else {
+            apply_user_timeout(static_cast<int>(now - window_closed_since_) + probe_interval_ms);
+        }
+        window_checked_at_ = now;
+        if (!seen.has_unacknowledged_data()) {
+            stop_watching_window();
+        }
+    }
+
+    /// Ends a connection that is lost.
+    void fail() {
+        if (is_draining_) {
+            close();
+        } else {
+            report_end(close_reason::lost);
+        }
+    }
+
+    void check_draining() {
+        const auto acknowledged = acknowledged_bytes();
+        if (acknowledged == acknowledged_when_checked_) {
+            close();
+        }
+        acknowledged_when_checked_ = acknowledged;
+    }
+
+    /// Closes the handle. What is left in the socket is still sent, with `drains` also to a peer
+    /// that reads slowly.
+    void close_gently(bool drains) {
+        if (drains && allows_closed_window_ && state().has_unacknowledged_data()) {
+            apply_user_timeout(closed_user_timeout_ms);
+        }
+        close();
+    }
+
     /// Reports a connect error from the event loop, after connect() has returned.
     void report_failed_connect() {
         uv_timer_start(
@@ -272,18 +368,14 @@
             return;
         }
         if (status != 0) {
-            if (is_draining_) {
-                close();
-            } else {
-                report_end(close_reason::lost);
-            }
+            fail();
             return;
         }
         if (unsent_ > 0) {
             return;
         }
         if (is_draining_) {
-            close();
+            close_gently(true);
         } else if (handlers_.on_drained) {
             const auto handler = handlers_.on_drained;
             handler();
@@ -303,18 +395,30 @@
         };
         uv_close(reinterpret_cast<uv_handle_t*>(&handle_), closed);
         uv_close(reinterpret_cast<uv_handle_t*>(&timer_), closed);
+        uv_close(reinterpret_cast<uv_handle_t*>(&window_timer_), closed);
     }
 
     uv_tcp_t handle_{};
     /// Limits the time of a draining close, and defers the report of a failed connect.
     uv_timer_t timer_{};
+    uv_timer_t window_timer_{};
     uv_connect_t connect_{};
     stream_handlers handlers_;
     /// Bytes written before the connection is established.
     std::string unsent_before_connect_;
     std::size_t unsent_ = 0;
-    int open_handles_ = 2;
-    int user_timeout_ms_ = user_timeout_ms;
+    int open_handles_ = 3;
+    int user_timeout_ms_ = default_user_timeout_ms;
+    /// Bytes that the peer had acknowledged at the last check of the draining connection and of the
+    /// receive window.
+    std::uint64_t acknowledged_when_checked_ = 0;
+    std::uint64_t acknowledged_at_window_check_ = 0;
+    /// Loop time in milliseconds since which the window may have been closed, and of the last
+    /// check.
+    std::uint64_t window_closed_since_ = 0;
+    std::uint64_t window_checked_at_ = 0;
+    bool allows_closed_window_ = true;
+    bool is_watching_window_ = false;
     bool is_connected_ = false;
     bool is_paused_ = false;
     bool is_closing_ = false;
@@ -350,7 +454,7 @@
     impl_->write(std::move(bytes));
 }
 
-void tcp_stream::set_user_timeout(std::chrono::milliseconds timeout) {
+void tcp_stream::set_user_timeout(std::optional<std::chrono::milliseconds> timeout) {
     impl_->set_user_timeout(timeout);
 }
 
@@ -362,6 +466,10 @@
     return impl_->acknowledged_bytes();
 }
 
+bool tcp_stream::has_unacknowledged_bytes() const {
+    return impl_->has_unacknowledged_bytes();
+}
+
 bool tcp_stream::is_connected() const {
     return impl_->is_connected();
 }
