Answer all earlier requests of a connection before a malformed one is refused

A caller that pipelined requests and then sent bytes that are no request got the answer to the oldest request only: once input was refused, the first complete answer closed the connection, and the requests between were lost with the 400.

The refusal is queued as the last answer and closes the connection itself, so no answer before it has to.

"a malformed request is refused after all earlier requests are answered" failed before and passes now.

--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -172,7 +172,7 @@
             if (!first.is_answered()) {
                 break;
             }
-            const bool closes = first.closes() || is_refusing_;
+            const bool closes = first.closes();
             const bool has_body_left = !first.is_body_complete();
             finished_ = std::move(requests_.front());
             requests_.pop_front();
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -613,6 +613,20 @@
     CHECK(sender.received.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("a malformed request is refused after all earlier requests are answered") {
+    test_loop event_loop;
+    test_server local_server(&event_loop.loop);
+    raw_client sender(&event_loop.loop, local_server.listen_address);
+    sender.stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nno request\r\n\r\n");
+    REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+    local_server.answer(0, "first");
+    local_server.answer(1, "second");
+    REQUIRE(event_loop.run_until([&] { return sender.is_ended; }));
+    const auto second = sender.received.find("second");
+    REQUIRE(second != std::string::npos);
+    CHECK(sender.received.find(" 400 ", second) != std::string::npos);
+}
+
 TEST_CASE("a body above the bound is refused without being read") {
     test_loop event_loop;
     server_limits limits;
