Send the earlier answers of a connection before an aborted one closes it

The same would happen now where a caller's deadline ends an answer that waits behind a slower one.

The connection now stays open until the earlier answers are sent, also those whose bytes still wait in its write buffer, then sends what there is of the aborted answer and closes. Nothing more is read from the client meanwhile, since it could not be answered. An aborted answer without others before it closes its connection at once as before.

Failed before: "an aborted answer closes its connection after the earlier answers", "an aborted answer does not cut an earlier one that its client still reads", "an answer that breaks off behind a slower request does not cut that one's answer", "a waiting answer whose caller's deadline has passed does not cut the earlier one".

--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -77,7 +77,8 @@
     virtual void write(std::string_view bytes) = 0;
     /// Ends the response body.
     virtual void finish() = 0;
-    /// Closes the connection, so that the client detects the response as incomplete.
+    /// Closes the connection, so that the client detects the response as incomplete. Responses to
+    /// earlier requests are sent first; nothing more is read from the client.
     virtual void abort() = 0;
 
     /// Number of response bytes that are buffered and not yet written to the socket.
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -95,6 +95,7 @@
     void notify_writable() { call(handlers_.on_writable); }
 
     bool is_answered() const { return is_answered_; }
+    bool is_aborted() const { return is_aborted_; }
     bool closes() const { return closes_connection_; }
     void set_closes_connection() { closes_connection_ = true; }
     std::string take_output() { return std::exchange(output_, {}); }
@@ -119,6 +120,7 @@
     body_framing answer_framing_ = body_framing::none;
     bool is_body_complete_ = false;
     bool is_answered_ = false;
+    bool is_aborted_ = false;
     bool closes_connection_ = false;
 };
 
@@ -169,6 +171,10 @@
             auto& first = *requests_.front();
             first.is_first_ = true;
             send(first.take_output());
+            if (first.is_aborted()) {
+                close_after_output();
+                return;
+            }
             if (!first.is_answered()) {
                 break;
             }
@@ -177,6 +183,7 @@
             finished_ = std::move(requests_.front());
             requests_.pop_front();
             --owner_.pending_;
+            has_earlier_output_ = unsent_bytes() > 0;
             if (has_body_left) {
                 discarded_body_request_ = finished_;
             }
@@ -190,6 +197,18 @@
         notify_if_drained();
     }
 
+    /// Closes the connection because the response to the request is aborted, but not before the
+    /// responses to all earlier requests are sent.
+    void end_with(const request& aborted) {
+        is_refusing_ = true;
+        const bool is_next = !requests_.empty() && requests_.front().get() == &aborted;
+        if (aborted.is_answered() || (is_next && !has_earlier_output_)) {
+            close();
+        } else {
+            send_ready_output();
+        }
+    }
+
     bool will_close() const { return owner_.closes_after_answers_; }
     std::size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
     std::uint64_t acknowledged_bytes() const {
@@ -360,6 +379,7 @@
     void on_drained() {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
+        has_earlier_output_ = false;
         notify_if_drained();
     }
 
@@ -391,8 +411,11 @@
     /// Bytes that the client's machine had acknowledged when the connection was last found idle.
     std::uint64_t acknowledged_when_idle_ = 0;
     bool is_closed_ = false;
-    /// Set after an error response was queued. Further input is ignored.
+    /// Set after an error response was queued or a response was aborted. Further input is ignored.
     bool is_refusing_ = false;
+    /// True if the stream's write buffer may hold bytes of responses to earlier requests than the
+    /// oldest one.
+    bool has_earlier_output_ = false;
 };
 
 std::string server::impl::request::take_body() {
@@ -453,7 +476,8 @@
 void server::impl::request::abort() {
     if (const auto owner = owner_.lock()) {
         handlers_ = {};
-        owner->close();
+        is_aborted_ = true;
+        owner->end_with(*this);
     }
 }
 
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -613,6 +613,56 @@
     CHECK(sender.received.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("an aborted answer closes its connection after the earlier answers") {
+    for (const bool has_begun : {false, true}) {
+        CAPTURE(has_begun);
+        test_loop event_loop;
+        test_server local_server(&event_loop.loop);
+        raw_client sender(&event_loop.loop, local_server.listen_address);
+        sender.stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+        REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+        if (has_begun) {
+            response_head head;
+            head.status = 200;
+            head.reason = "OK";
+            head.framing = body_framing::connection_close;
+            local_server.requests[1]->begin(head);
+            local_server.requests[1]->write("second");
+        }
+        local_server.requests[1]->abort();
+        CHECK(local_server.closed_requests == 0);
+        const auto until = uv_hrtime() + 50'000'000ULL;
+        event_loop.run_until([&] { return uv_hrtime() > until; });
+        CHECK_FALSE(sender.is_ended);
+        // Nothing more is accepted, since it could not be answered.
+        sender.stream->write("GET /3 HTTP/1.1\r\n\r\n");
+        const auto later = uv_hrtime() + 50'000'000ULL;
+        event_loop.run_until([&] { return uv_hrtime() > later; });
+        CHECK(local_server.requests.size() == 2);
+        local_server.answer(0, "first");
+        REQUIRE(event_loop.run_until([&] { return sender.is_ended; }));
+        CHECK(sender.received.find("first") != std::string::npos);
+        CHECK(sender.received.find("0\r\n\r\n") == std::string::npos);
+        CHECK(local_server.listener->pending() == 0);
+    }
+}
+
+TEST_CASE("an aborted answer does not cut an earlier one that its client still reads") {
+    test_loop event_loop;
+    test_server local_server(&event_loop.loop);
+    raw_client sender(&event_loop.loop, local_server.listen_address);
+    sender.stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+    sender.stream->pause_reading();
+    const std::string body(64U << 20U, 'x');
+    local_server.answer(0, body);
+    REQUIRE(local_server.requests[1]->unsent_bytes() > 0);
+    local_server.requests[1]->abort();
+    sender.stream->resume_reading();
+    REQUIRE(event_loop.run_until([&] { return sender.is_ended; }));
+    CHECK(sender.received.size() > body.size());
+}
+
 TEST_CASE("a malformed request is refused after all earlier requests are answered") {
     test_loop event_loop;
     test_server local_server(&event_loop.loop);
--- a/libs/proxy/tests/long_answer_test.cpp
+++ b/libs/proxy/tests/long_answer_test.cpp
@@ -248,3 +248,48 @@
         CHECK(caller.bodies == std::vector<std::size_t>{0, endless_body_bytes});
     }
 }
+
+TEST_CASE("an answer that breaks off behind a slower request does not cut that one's answer") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow(5s);
+        pipelining_caller caller(slow, machine);
+        caller.send("first");
+        caller.send("long");
+        REQUIRE(slow.wait_for("first"));
+        REQUIRE(slow.wait_for("long"));
+        slow.answer("long", answer_head("long", long_body_bytes) + std::string(100'000, 'x'));
+        slow.run_for(50ms);
+        slow.target->close(slow.arrived.at("long"));
+        slow.run_for(200ms);
+        CHECK_FALSE(caller.is_ended);
+        CHECK_FALSE(slow.is_cancelled("first"));
+        slow.answer("first", whole_answer("first", 5));
+        CHECK(slow.site.run_until([&] { return caller.is_ended; }));
+        CHECK(caller.complete == 1);
+        REQUIRE(!caller.bodies.empty());
+        CHECK(caller.bodies[0] == 5);
+    }
+}
+
+TEST_CASE("a waiting answer whose caller's deadline has passed does not cut the earlier one") {
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        long_answer_site slow(5s);
+        pipelining_caller caller(slow, machine);
+        caller.send("first");
+        caller.send("long", 300ms);
+        REQUIRE(slow.wait_for("first"));
+        REQUIRE(slow.wait_for("long"));
+        slow.answer("long", whole_answer("long", endless_body_bytes));
+        slow.run_for(600ms);
+        CHECK(slow.is_cancelled("long"));
+        CHECK_FALSE(slow.is_cancelled("first"));
+        CHECK_FALSE(caller.is_ended);
+        slow.answer("first", whole_answer("first", 5));
+        CHECK(slow.site.run_until([&] { return caller.is_ended; }));
+        CHECK(caller.complete == 1);
+        REQUIRE(!caller.bodies.empty());
+        CHECK(caller.bodies[0] == 5);
+    }
+}
