--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -80,11 +80,18 @@
     virtual void write(std::string_view bytes) = 0;
     /// Ends the response body.
     virtual void finish() = 0;
-    /// Closes the connection, so that the client detects the response as incomplete.
+    /// Closes the connection, so that the client detects the response as incomplete. Responses to
+    /// earlier requests are sent first; nothing more is read from the client.
     virtual void abort() = 0;
 
     /// Number of response bytes that are buffered and not yet written to the socket.
     virtual std::size_t unsent_bytes() const = 0;
+
+    /// True if the responses to all earlier requests of the connection are complete.
+    virtual bool is_next() const = 0;
+    /// Number of bytes that the client's machine has acknowledged on the connection so far, of all
+    /// responses; zero once the connection is closed.
+    virtual std::uint64_t acknowledged_bytes() const = 0;
 };
 
 /// Listens on an address and passes each request to a handler as soon as its head is complete.
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -76,6 +76,8 @@
     void finish() override;
     void abort() override;
     std::size_t unsent_bytes() const override;
+    bool is_next() const override { return is_first_; }
+    std::uint64_t acknowledged_bytes() const override;
 
     void add_body(const std::string& bytes) {
         body_ += bytes;
@@ -93,6 +95,7 @@
     void notify_writable() { call(handlers_.on_writable); }
 
     bool is_answered() const { return is_answered_; }
+    bool is_aborted() const { return is_aborted_; }
     bool closes() const { return closes_connection_; }
     void set_closes_connection() { closes_connection_ = true; }
     std::string take_output() { return std::exchange(output_, {}); }
@@ -122,6 +125,7 @@
     bool sends_body_ = true;
     bool is_body_complete_ = false;
     bool is_answered_ = false;
+    bool is_aborted_ = false;
     bool closes_connection_ = false;
 };
 
@@ -172,14 +176,19 @@
             auto& first = *requests_.front();
             first.is_first_ = true;
             send(first.take_output());
+            if (first.is_aborted()) {
+                close_after_output();
+                return;
+            }
             if (!first.is_answered()) {
                 break;
             }
-            const bool closes = first.closes() || is_refusing_;
+            const bool closes = first.closes();
             const bool has_body_left = !first.is_body_complete();
             finished_ = std::move(requests_.front());
             requests_.pop_front();
             --owner_.pending_;
+            has_earlier_output_ = unsent_bytes() > 0;
             if (has_body_left) {
                 discarded_body_request_ = finished_;
             }
@@ -190,10 +199,26 @@
         }
         last_activity_ = uv_now(owner_.loop_);
         adjust_reading();
+        notify_if_drained();
+    }
+
+    /// Closes the connection because the response to the request is aborted, but not before the
+    /// responses to all earlier requests are sent.
+    void end_with(const request& aborted) {
+        is_refusing_ = true;
+        const bool is_next = !requests_.empty() && requests_.front().get() == &aborted;
+        if (aborted.is_answered() || (is_next && !has_earlier_output_)) {
+            close();
+        } else {
+            send_ready_output();
+        }
     }
 
     bool will_close() const { return owner_.closes_after_answers_; }
     std::size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
+    std::uint64_t acknowledged_bytes() const {
+        return stream_ == nullptr ? 0 : stream_->acknowledged_bytes();
+    }
 
     void adjust_reading() {
         if (stream_ == nullptr) {
@@ -219,7 +244,8 @@
             if (now - head_started_ > static_cast<std::uint64_t>(limits.head_timeout.count())) {
                 refuse(408, "Request Timeout");
             }
-        } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count())) {
+        } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count()) &&
+                   !has_read_on(now)) {
             close();
         }
     }
@@ -340,10 +366,33 @@
         close();
     }
 
+    /// True if the client has not read all responses yet, and has read more of them since this was
+    /// last asked.
+    bool has_read_on(std::uint64_t now) {
+        if (stream_ == nullptr || !stream_->has_unacknowledged_bytes()) {
+            return false;
+        }
+        const auto acknowledged = stream_->acknowledged_bytes();
+        if (acknowledged == acknowledged_when_idle_) {
+            return false;
+        }
+        acknowledged_when_idle_ = acknowledged;
+        last_activity_ = now;
+        return true;
+    }
+
     void on_drained() {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
-        if (!requests_.empty()) {
+        has_earlier_output_ = false;
+        notify_if_drained();
+    }
+
+    /// Notifies the owner of the oldest request if no response bytes are waiting. on_drained()
+    /// alone is not enough, because the socket may take at once what was queued behind an earlier
+    /// response.
+    void notify_if_drained() {
+        if (!requests_.empty() && unsent_bytes() == 0) {
             const auto first = requests_.front();
             first->notify_writable();
         }
@@ -364,9 +413,14 @@
     /// Loop time in milliseconds of the last activity and of the start of the current head.
     std::uint64_t last_activity_;
     std::uint64_t head_started_ = 0;
+    /// Bytes that the client's machine had acknowledged when the connection was last found idle.
+    std::uint64_t acknowledged_when_idle_ = 0;
     bool is_closed_ = false;
-    /// Set after an error response was queued. Further input is ignored.
+    /// Set after an error response was queued or a response was aborted. Further input is ignored.
     bool is_refusing_ = false;
+    /// True if the stream's write buffer may hold bytes of responses to earlier requests than the
+    /// oldest one.
+    bool has_earlier_output_ = false;
 };
 
 std::string server::impl::request::take_body() {
@@ -435,7 +489,8 @@
 void server::impl::request::abort() {
     if (const auto owner = owner_.lock()) {
         handlers_ = {};
-        owner->close();
+        is_aborted_ = true;
+        owner->end_with(*this);
     }
 }
 
@@ -444,6 +499,11 @@
     return output_.size() + (owner == nullptr || !is_first_ ? 0 : owner->unsent_bytes());
 }
 
+std::uint64_t server::impl::request::acknowledged_bytes() const {
+    const auto owner = owner_.lock();
+    return owner == nullptr ? 0 : owner->acknowledged_bytes();
+}
+
 void server::impl::request::emit(const std::string& bytes) {
     const auto owner = owner_.lock();
     if (owner == nullptr) {
