Send the earlier answers of a connection before a malformed body closes it

A caller that pipelined requests and then sent a body that can't be read, or is longer than allowed, lost the answers to its earlier requests as well: the connection was closed at once.

The request with that body is still given up at once; the connection closes in its place, after the earlier answers.

"a malformed body closes its connection after the earlier answers" failed before and passes now.

--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -1,5 +1,6 @@
 #include <trefoil/http1/server.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <unordered_map>
 
@@ -92,6 +93,11 @@
         call(handlers_.on_client_closed);
         handlers_ = {};
     }
+    /// Tells the owner that the connection is closed, and marks the response as aborted.
+    void give_up() {
+        is_aborted_ = true;
+        notify_closed();
+    }
     void notify_writable() { call(handlers_.on_writable); }
 
     bool is_answered() const { return is_answered_; }
@@ -201,8 +207,11 @@
     /// responses to all earlier requests are sent.
     void end_with(const request& aborted) {
         is_refusing_ = true;
-        const bool is_next = !requests_.empty() && requests_.front().get() == &aborted;
-        if (aborted.is_answered() || (is_next && !has_earlier_output_)) {
+        const auto found =
+            std::find_if(requests_.begin(), requests_.end(),
+                         [&](const auto& queued) { return queued.get() == &aborted; });
+        const bool is_next = found == requests_.begin();
+        if (found == requests_.end() || (is_next && !has_earlier_output_)) {
             close();
         } else {
             send_ready_output();
@@ -327,11 +336,13 @@
     }
 
     /// Queues an error response behind the responses to all earlier requests and ignores all
-    /// further input. If the error is in the body of a request that was already passed on, the
-    /// connection is closed without a response instead.
+    /// further input. If the error is in the body of a request that was already passed on, this
+    /// request gets no response, and the connection is closed in its place.
     void refuse(int status, std::string reason) {
         if (is_reading_body()) {
-            close();
+            const auto unreadable = requests_.back();
+            unreadable->give_up();
+            end_with(*unreadable);
             return;
         }
         request_head none;
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -677,6 +677,24 @@
     CHECK(sender.received.find(" 400 ", second) != std::string::npos);
 }
 
+TEST_CASE("a malformed body closes its connection after the earlier answers") {
+    test_loop event_loop;
+    test_server local_server(&event_loop.loop);
+    raw_client sender(&event_loop.loop, local_server.listen_address);
+    sender.stream->write("GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+    REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 2; }));
+    sender.stream->write("no chunk");
+    // The request with the malformed body is given up at once.
+    REQUIRE(event_loop.run_until([&] { return local_server.closed_requests > 0; }));
+    CHECK(local_server.closed_requests == 1);
+    CHECK_FALSE(sender.is_ended);
+    local_server.answer(0, "first");
+    REQUIRE(event_loop.run_until([&] { return sender.is_ended; }));
+    CHECK(sender.received.ends_with("first"));
+    CHECK(local_server.listener->pending() == 0);
+}
+
 TEST_CASE("a body above the bound is refused without being read") {
     test_loop event_loop;
     server_limits limits;
