Read again from a connection whose answer ended while its receiver had paused it

Found while looking for state that outlives a message: an answer is paused while too much of it waits for its caller. Where its last part came in the same read as the part that led to the pause, the connection went back to the pool without being read any more, since nothing resumes an exchange that is over. The next request on it would have got no answer until its timeout, and the pool no longer saw the target close it.

connection_test, one case: the second request never ended before (5 s); it is answered now. By reading, answers to slow callers of more than 128 KiB lead there; no test of the whole path shows it.

--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -184,6 +184,7 @@
     const auto self = finished->release();
     const auto pool = pool_.lock();
     if (pool != nullptr && is_reusable()) {
+        stream_->resume_reading();
         pool->add_idle(shared_from_this());
     } else {
         stream_.reset();
--- a/libs/http1/tests/connection_test.cpp
+++ b/libs/http1/tests/connection_test.cpp
@@ -187,6 +187,8 @@
     bool is_complete = false;
     bool has_failed = false;
     exchange_failure failure = exchange_failure::not_sent;
+    /// If set, the exchange is paused when a part of the body arrives.
+    bool pauses = false;
     std::unique_ptr<exchange> handle;
 
     bool is_finished() const { return is_complete || has_failed; }
@@ -204,7 +206,12 @@
     }
     record.handle = sender.start(to, head, {}, true, options, [&record](exchange_event event) {
         std::visit(overloaded{[&](const response_head& answer) { record.status = answer.status; },
-                              [&](const body_piece& piece) { record.body += piece.bytes; },
+                              [&](const body_piece& piece) {
+                                  record.body += piece.bytes;
+                                  if (record.pauses) {
+                                      record.handle->pause();
+                                  }
+                              },
                               [&](const message_end&) { record.is_complete = true; },
                               [&](exchange_failure reported_failure) {
                                   record.has_failed = true;
@@ -234,6 +241,20 @@
     CHECK(target.connections == 1);
 }
 
+TEST_CASE("an exchange that is paused at its end does not stop the next one of its connection") {
+    test_loop event_loop;
+    raw_target target(&event_loop.loop, {ok_response("1", "a"), ok_response("2", "b")});
+    client sender(&event_loop.loop, {});
+    for (const auto* id : {"1", "2"}) {
+        exchange_record record;
+        record.pauses = true;
+        start_request(sender, target.listen_address(), record, id);
+        REQUIRE(event_loop.run_until([&] { return record.is_finished(); }));
+        CHECK(record.is_complete);
+    }
+    CHECK(target.connections == 1);
+}
+
 TEST_CASE("a response to an earlier request is discarded and the expected one is accepted") {
     test_loop event_loop;
     raw_target target(&event_loop.loop,
