Take a long request body no faster than the worker reads it

Cause: request bodies had no back pressure. A call took every piece from its client and put it into the write buffer of its attempt, which has no bound, or into the string of a run that waits at the gate. exchange::unsent_bytes() was there for this and was asked nowhere.

Change: a call takes more of a streamed body only while its attempt has less than 128 KiB unsent (in the connection to the worker or to the other node, or in the run at the gate). Otherwise the bytes stay with the request, and its connection is not read from while more than 64 KiB wait. Exchanges and attempts tell when they have drained, also when the connection is established or the run gets its slot, and the call goes on. The first part of a streamed body is handed over, not kept. The rest of the body of an answered request is dropped at once, also while the answer waits for earlier ones.

While reading is paused the loop does not report that a client has left, so the server asks the socket of such a connection four times a second. An exchange that is given up within its request resets its connection, since an orderly end would stand behind the bytes that the peer does not read. A client that closes in an orderly way behind bytes that are not read is still seen only when they are read, or at the deadline; what is held for it until then is bounded.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -112,7 +112,7 @@
 };
 
 /// One request and its response. Destroying the exchange before its last event closes its
-/// connection.
+/// connection, with a TCP reset if the request was not sent completely.
 class exchange {
 public:
     virtual ~exchange() = default;
@@ -123,6 +123,9 @@
     virtual void finish_body() = 0;
     /// Number of request bytes that are buffered and not yet written to the socket.
     virtual std::size_t unsent_bytes() const = 0;
+    /// Sets a function that is called when all buffered request bytes have been written to the
+    /// socket. It may destroy the exchange.
+    virtual void set_drained_handler(std::function<void()> on_drained) = 0;
 
     /// Stops reading from the connection until resume().
     virtual void pause() = 0;
--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -31,6 +31,9 @@
     /// A request whose Content-Length is larger is answered with status 413. The connection of a
     /// request whose body exceeds the limit during reading is closed.
     std::uint64_t max_body_bytes = 64U << 20U;
+    /// Reading from a connection is paused while more bytes of a request body than this wait to be
+    /// taken.
+    std::size_t max_waiting_body_bytes = 512U << 10U;
     /// Maximum time from the first byte of a request head to its end. A slower request is answered
     /// with status 408.
     std::chrono::milliseconds head_timeout{3000};
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -56,6 +56,9 @@
     /// Number of buffered bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const;
     bool is_connected() const;
+    /// True if the peer has closed or reset the connection. Also known while reading is paused, but
+    /// only once the peer's last bytes have been received.
+    bool has_peer_ended() const;
 
     /// Sets the TCP user timeout: unacknowledged data ends the connection after this time.
     void set_user_timeout(std::chrono::milliseconds timeout);
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -119,6 +119,13 @@
     }
 }
 
+void client::impl::connection::on_drained() {
+    const auto lifetime_guard = shared_from_this();
+    if (exchange_ != nullptr) {
+        exchange_->notify_drained();
+    }
+}
+
 void client::impl::connection::handle_events(std::vector<response_event> events) {
     for (auto& event : events) {
         if (exchange_ == nullptr) {
--- a/libs/http1/src/client_pool.hpp
+++ b/libs/http1/src/client_pool.hpp
@@ -73,7 +73,7 @@
                                       {{},
                                        [this](std::string_view bytes) { on_data(bytes); },
                                        [this](close_reason end_reason) { on_closed(end_reason); },
-                                       {}});
+                                       [this] { on_drained(); }});
     }
 
     const endpoint& to() const { return to_; }
@@ -136,6 +136,7 @@
 
     void on_data(std::string_view bytes);
     void on_closed(close_reason end_reason);
+    void on_drained();
     void handle_events(std::vector<response_event> events);
     void on_head(response_head& head);
     void on_body(body_piece& piece);
@@ -178,9 +179,15 @@
           timer_(pool_->loop_, [this] { check_connected(); }) {}
 
     ~active_exchange() override {
-        if (connection_ != nullptr) {
-            connection_->exchange_ = nullptr;
-            connection_->stream_.reset();
+        if (connection_ == nullptr) {
+            return;
+        }
+        connection_->exchange_ = nullptr;
+        const auto stream = std::move(connection_->stream_);
+        const bool is_cut = !is_body_complete_ || (stream != nullptr && stream->unsent_bytes() > 0);
+        if (stream != nullptr && is_cut) {
+            // The end of a connection is seen only behind the bytes that the peer has not read yet.
+            stream->reset();
         }
     }
 
@@ -219,6 +226,9 @@
     std::size_t unsent_bytes() const override {
         return has_stream() ? connection_->stream_->unsent_bytes() : 0;
     }
+    void set_drained_handler(std::function<void()> on_drained) override {
+        on_drained_ = std::move(on_drained);
+    }
     void pause() override {
         if (has_stream()) {
             connection_->stream_->pause_reading();
@@ -239,6 +249,12 @@
         const auto handler = on_event_;
         handler(std::move(event));
     }
+    void notify_drained() {
+        if (on_drained_) {
+            const auto handler = on_drained_;
+            handler();
+        }
+    }
 
     /// Detaches the connection at the end of the exchange and returns it.
     std::shared_ptr<connection> release() {
@@ -279,6 +295,7 @@
     std::shared_ptr<impl> pool_;
     std::shared_ptr<connection> connection_;
     handler on_event_;
+    std::function<void()> on_drained_;
     body_framing framing_;
     connection_use last_use_;
     loop_timer timer_;
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -18,8 +18,6 @@
 constexpr int accept_backlog = 1024;
 /// Maximum number of requests of one connection that are passed on before the first is answered.
 constexpr std::size_t max_pipelined_requests = 32;
-/// Reading from a connection is paused while more bytes of a request body than this are buffered.
-constexpr std::size_t max_buffered_body_bytes = 512U << 10U;
 
 response_head make_error_head(int status, std::string reason) {
     response_head head;
@@ -77,9 +75,12 @@
     void abort() override;
     std::size_t unsent_bytes() const override;
 
+    /// Adds to the body. The rest of the body of an answered request is discarded.
     void add_body(const std::string& bytes) {
-        body_ += bytes;
-        call(handlers_.on_body);
+        if (!is_answered_) {
+            body_ += bytes;
+            call(handlers_.on_body);
+        }
     }
     void complete_body() {
         is_body_complete_ = true;
@@ -194,10 +195,8 @@
         if (stream_ == nullptr) {
             return;
         }
-        const bool is_body_buffer_full =
-            !requests_.empty() && requests_.back()->body_size() > max_buffered_body_bytes;
         const bool is_pipeline_full = requests_.size() >= max_pipelined_requests;
-        if (is_body_buffer_full || is_pipeline_full) {
+        if (has_full_body_buffer() || is_pipeline_full) {
             stream_->pause_reading();
         } else {
             stream_->resume_reading();
@@ -208,6 +207,10 @@
         const auto age = now - last_activity_;
         const auto& limits = owner_.limits_;
         if (!requests_.empty()) {
+            // While reading is paused, the end of the connection is not reported.
+            if (has_full_body_buffer() && stream_->has_peer_ended()) {
+                close();
+            }
             return;
         }
         if (parser_.is_in_head()) {
@@ -220,6 +223,11 @@
     }
 
 private:
+    bool has_full_body_buffer() const {
+        return !requests_.empty() &&
+               requests_.back()->body_size() > owner_.limits_.max_waiting_body_bytes;
+    }
+
     void on_data(std::string_view bytes) {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
@@ -386,6 +394,7 @@
         bytes += body;
     }
     is_answered_ = true;
+    body_ = {};
     output_ += bytes;
     owner->send_ready_output();
 }
@@ -414,6 +423,7 @@
         output_ += last_chunk;
     }
     is_answered_ = true;
+    body_ = {};
     if (const auto owner = owner_.lock()) {
         owner->send_ready_output();
     }
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -126,6 +127,12 @@
     std::size_t unsent_bytes() const { return unsent_ + unsent_before_connect_.size(); }
     bool is_connected() const { return is_connected_; }
 
+    bool has_peer_ended() {
+        pollfd asked{-1, POLLRDHUP, 0};
+        return uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &asked.fd) == 0 &&
+               poll(&asked, 1, 0) > 0;
+    }
+
     void pause() {
         is_paused_ = true;
         uv_read_stop(stream());
@@ -185,7 +192,13 @@
             const auto handler = handlers_.on_connected;
             handler();
         }
+        if (waiting.empty()) {
+            return;
+        }
         write(std::move(waiting));
+        if (unsent_ == 0) {
+            report_drained();
+        }
     }
 
     /// Reports a connect error from the event loop, after connect() has returned.
@@ -274,7 +287,13 @@
         }
         if (is_draining_) {
             close();
-        } else if (handlers_.on_drained) {
+        } else {
+            report_drained();
+        }
+    }
+
+    void report_drained() {
+        if (!is_closing_ && handlers_.on_drained) {
             const auto handler = handlers_.on_drained;
             handler();
         }
@@ -352,6 +371,10 @@
     return impl_->is_connected();
 }
 
+bool tcp_stream::has_peer_ended() const {
+    return impl_->has_peer_ended();
+}
+
 void tcp_stream::pause_reading() {
     impl_->pause();
 }
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -18,6 +18,9 @@
 /// Request bodies up to this size are buffered completely before an attempt, so that they can be
 /// sent again. Larger bodies are streamed.
 inline constexpr std::size_t max_buffered_body_bytes = 256U << 10U;
+/// No more of a streamed body is taken from its sender while this many bytes of it wait to be
+/// written.
+inline constexpr std::size_t max_unsent_body_bytes = 128U << 10U;
 
 /// What is known of the calls that a target made while it ran a request, from best to worst.
 enum class downstream_state : std::uint8_t {
@@ -88,6 +91,9 @@
     virtual void finish_body() = 0;
     /// Number of request bytes that have not been written yet.
     virtual std::size_t unsent_bytes() const = 0;
+    /// Sets a function that is called when all unsent request bytes have been written. It must not
+    /// destroy the attempt.
+    virtual void set_drained_handler(std::function<void()> on_drained) = 0;
     /// False as long as it is certain that no target has received the request.
     virtual bool may_have_run() const = 0;
     /// Stops reading the response, for backpressure.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -3,6 +3,7 @@
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
 
+#include "forward_body.hpp"
 #include "local_response.hpp"
 
 namespace trefoil {
@@ -61,18 +62,19 @@
     if (is_finished_) {
         return;
     }
-    if (!is_submitted_) {
-        if (request_->is_body_complete() || request_->body_size() > max_buffered_body_bytes) {
-            submit();
-        }
+    if (is_submitted_) {
+        send_more_body();
         return;
     }
-    if (!is_body_sent_ && attempt_ != nullptr) {
-        attempt_->send_body(request_->take_body());
-        if (request_->is_body_complete()) {
-            is_body_sent_ = true;
-            attempt_->finish_body();
-        }
+    body_ += request_->take_body();
+    if (request_->is_body_complete() || body_.size() > max_buffered_body_bytes) {
+        submit();
+    }
+}
+
+void inbound_call::send_more_body() {
+    if (!is_finished_ && !is_body_sent_ && attempt_ != nullptr) {
+        is_body_sent_ = forward_body(*request_, *attempt_);
     }
 }
 
@@ -86,7 +88,7 @@
                   [](const http_header& field) { return is_peer_field(field.name); });
     made.head.framing = original.framing;
     made.head.content_length = original.content_length;
-    made.body = request_->take_body();
+    made.body = std::move(body_);
     made.is_body_complete = request_->is_body_complete();
     made.terms = terms_;
     made.terms.remaining = std::max<duration>(terms_.remaining - (state_.now() - arrived_), 1ms);
@@ -108,6 +110,7 @@
         return;
     }
     attempt_ = std::move(std::get<std::unique_ptr<attempt>>(made));
+    attempt_->set_drained_handler([this] { send_more_body(); });
 }
 
 void inbound_call::handle_event(attempt_event event) {
--- a/libs/proxy/src/inbound_call.hpp
+++ b/libs/proxy/src/inbound_call.hpp
@@ -24,6 +24,8 @@
 private:
     void start();
     void body_arrived();
+    /// Passes on what has arrived of a streamed body if the attempt has room for it.
+    void send_more_body();
     void submit();
     target_request make_target_request();
     void handle_event(attempt_event event);
@@ -36,6 +38,8 @@
     time_point arrived_;
     run_terms terms_;
     std::string request_id_;
+    /// The part of the body that was taken from the peer before the request is submitted.
+    std::string body_;
     std::unique_ptr<attempt> attempt_;
     std::optional<reply_relay> relay_;
     bool is_submitted_ = false;
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -8,6 +8,7 @@
 #include <trefoil/http1/header_rules.hpp>
 
 #include "finished_call.hpp"
+#include "forward_body.hpp"
 #include "local_response.hpp"
 #include "peer_attempt.hpp"
 #include "target_announcement.hpp"
@@ -105,29 +106,26 @@
         send_more_body();
         return;
     }
-    if (!request_->is_body_complete() && request_->body_size() <= max_buffered_body_bytes) {
+    body_ += request_->take_body();
+    if (!request_->is_body_complete() && body_.size() <= max_buffered_body_bytes) {
         return;
     }
     is_started_ = true;
     is_body_complete_ = request_->is_body_complete();
     is_body_streamed_ = !is_body_complete_;
-    body_ = request_->take_body();
     start_next_attempt();
 }
 
 void outbound_call::send_more_body() {
-    if (is_body_complete_ || !attempt_) {
-        return;
-    }
-    auto& operation = *attempt_->operation;
-    operation.send_body(request_->take_body());
-    if (request_->is_body_complete()) {
-        is_body_complete_ = true;
-        body_.clear();
-        operation.finish_body();
+    if (!is_finished_ && !is_body_complete_ && attempt_ && attempt_->operation != nullptr) {
+        is_body_complete_ = forward_body(*request_, *attempt_->operation);
     }
 }
 
+std::string outbound_call::body_to_send() {
+    return is_body_streamed_ ? std::exchange(body_, {}) : body_;
+}
+
 void outbound_call::handle_client_close() {
     if (is_finished_) {
         return;
@@ -243,21 +241,23 @@
     auto handler = [this](attempt_event event) { handle_event(std::move(event)); };
     if (instance.target == state_.settings.target) {
         auto made = state_.dispatcher.submit(
-            {make_head(instance), body_, is_body_complete_, current_terms(), request_id_},
+            {make_head(instance), body_to_send(), is_body_complete_, current_terms(), request_id_},
             std::move(handler));
         if (auto* refused = std::get_if<attempt_refusal>(&made)) {
             handle_event(*refused);
             return;
         }
         attempt_->operation = std::move(std::get<std::unique_ptr<attempt>>(made));
+        attempt_->operation->set_drained_handler([this] { send_more_body(); });
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
     attempt_->operation =
         start_peer_attempt(state_.peers, state_.settings.header_names,
-                           {peer, make_head(instance), body_, is_body_complete_, current_terms(),
-                            state_.placer.rate_limit(instance.id)},
+                           {peer, make_head(instance), body_to_send(), is_body_complete_,
+                            current_terms(), state_.placer.rate_limit(instance.id)},
                            std::move(handler));
+    attempt_->operation->set_drained_handler([this] { send_more_body(); });
 }
 
 void outbound_call::handle_event(attempt_event event) {
@@ -348,6 +348,7 @@
     const auto status = reply.head.status;
     const bool is_complete = reply.is_complete;
     downstream_ = reply.downstream;
+    body_ = {};
     relay_.emplace(request_);
     relay_->begin(std::move(reply), {});
     if (is_complete) {
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -47,7 +47,10 @@
     void start();
     bool read_terms();
     void body_arrived();
+    /// Passes on what has arrived of a streamed body if the attempt has room for it.
     void send_more_body();
+    /// Returns the body, or its first part, for an attempt. Keeps it if another attempt may follow.
+    std::string body_to_send();
     void handle_client_close();
 
     void start_next_attempt();
@@ -89,7 +92,8 @@
     call_terms terms_;
     std::string request_id_;
     time_point arrived_;
-    /// The part of the body that was taken from the client and may have to be sent again.
+    /// The part of the body that was taken from the client and that no attempt has got, or all of
+    /// it if it may have to be sent again.
     std::string body_;
     bool is_body_complete_ = false;
     /// True if the body is streamed. A streamed body is not buffered and cannot be sent again.
--- a/libs/proxy/src/peer_attempt.cpp
+++ b/libs/proxy/src/peer_attempt.cpp
@@ -59,6 +59,11 @@
     std::size_t unsent_bytes() const override {
         return exchange_ != nullptr ? exchange_->unsent_bytes() : 0;
     }
+    void set_drained_handler(std::function<void()> on_drained) override {
+        if (exchange_ != nullptr) {
+            exchange_->set_drained_handler(std::move(on_drained));
+        }
+    }
     bool may_have_run() const override { return exchange_ == nullptr || exchange_->was_sent(); }
     void pause() override {
         if (exchange_ != nullptr) {
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -38,6 +38,8 @@
 constexpr std::chrono::milliseconds peer_idle_timeout{60'000};
 constexpr std::uint64_t peer_max_body_bytes = 1ULL << 40U;
 constexpr std::size_t peer_max_head_bytes = 131072;
+/// Bytes of a request body that wait for a call to take them. Calls take what they can pass on.
+constexpr std::size_t max_waiting_body_bytes = 64U << 10U;
 
 http1::server_limits limits_of(const sender_limits& limits) {
     http1::server_limits made;
@@ -45,6 +47,7 @@
     made.max_body_bytes = limits.max_body_bytes;
     made.head_timeout = whole_ms(limits.header_timeout);
     made.idle_timeout = whole_ms(limits.idle_timeout);
+    made.max_waiting_body_bytes = max_waiting_body_bytes;
     return made;
 }
 
@@ -53,6 +56,7 @@
     made.max_head_bytes = peer_max_head_bytes;
     made.max_body_bytes = peer_max_body_bytes;
     made.idle_timeout = peer_idle_timeout;
+    made.max_waiting_body_bytes = max_waiting_body_bytes;
     return made;
 }
 
--- a/libs/proxy/src/target_dispatcher.cpp
+++ b/libs/proxy/src/target_dispatcher.cpp
@@ -97,6 +97,12 @@
     std::size_t unsent_bytes() const override {
         return exchange_ != nullptr ? exchange_->unsent_bytes() : request_.body.size();
     }
+    void set_drained_handler(std::function<void()> on_drained) override {
+        on_drained_ = std::move(on_drained);
+        if (exchange_ != nullptr) {
+            exchange_->set_drained_handler(on_drained_);
+        }
+    }
     bool may_have_run() const override { return exchange_ != nullptr || is_finished_; }
     void pause() override {
         if (exchange_ != nullptr) {
@@ -128,7 +134,11 @@
             dispatcher_.target_, request_.head, request_.body, request_.is_body_complete,
             std::move(options),
             [this](http1::exchange_event event) { handle_event(std::move(event)); });
-        request_.body.clear();
+        request_.body = {};
+        exchange_->set_drained_handler(on_drained_);
+        if (on_drained_ && exchange_->unsent_bytes() == 0) {
+            on_drained_();
+        }
     }
 
     void refuse(refusal reason) {
@@ -262,6 +272,7 @@
     call_id call_;
     target_request request_;
     attempt_handler on_event_;
+    std::function<void()> on_drained_;
     request_fingerprint fingerprint_;
     time_point arrived_;
     time_point started_;
