Bound the request bodies that a process holds for all of its callers

What callers saw: nothing yet; the bound for each upload, about 0.4 MB at each node, is multiplied by as many callers as descriptors allow (some 2,000 with a connection on each side), which is more than the memory of any process.

Change: the calls of a process note what they hold of request bodies (what waits at the request, what a call keeps for a repetition, what is unsent or waits at the gate). Beyond 24 MiB a call keeps or leaves unsent at most about 8 KiB, a connection is not read from while bytes of a body wait or a complete request has no answer, and reads of servers take 16 KiB at most, also otherwise. Every call may always hold a little, so that each goes on by its own events and none waits for another. Bodies that would have been kept for a repetition are streamed meanwhile and are not sent a second time; the fingerprint of such a request, which is made of the first part, may differ from run to run.

--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -12,6 +12,7 @@
 
 #include <trefoil/base/endpoint.hpp>
 #include <trefoil/base/time.hpp>
+#include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/message.hpp>
 
 struct uv_loop_s;
@@ -106,6 +107,11 @@
     /// limits apply to all connections.
     void set_limits(server_limits limits);
 
+    /// Sets the memory for request bodies. While it is short, reading from a connection is paused
+    /// as soon as bytes of a body wait to be taken, and between a complete request and its answer.
+    /// The memory must outlive the server.
+    void set_body_memory(const body_memory& memory);
+
     /// Adds `connection: close` to every further response and closes the connection after it.
     void close_connections_after_answers();
 
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -63,6 +63,9 @@
     /// Sets the TCP user timeout: unacknowledged data ends the connection after this time.
     void set_user_timeout(std::chrono::milliseconds timeout);
 
+    /// Sets the number of bytes that are read at once.
+    void set_max_read_bytes(std::size_t bytes);
+
     void pause_reading();
     void resume_reading();
 
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -18,6 +18,8 @@
 constexpr int accept_backlog = 1024;
 /// Maximum number of requests of one connection that are passed on before the first is answered.
 constexpr std::size_t max_pipelined_requests = 32;
+/// A small read, so that a connection that is no longer to be read from has taken little.
+constexpr std::size_t max_read_bytes = 16U << 10U;
 
 response_head make_error_head(int status, std::string reason) {
     response_head head;
@@ -52,6 +54,7 @@
     server_limits limits_;
     request_handler on_request_;
     uv_tcp_t* listener_ = nullptr;
+    const body_memory* memory_ = nullptr;
     bool closes_after_answers_ = false;
     std::size_t pending_ = 0;
     std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
@@ -133,7 +136,11 @@
                                       [this](std::string_view bytes) { on_data(bytes); },
                                       [this](close_reason) { close(); },
                                       [this] { on_drained(); }});
-        return stream_ != nullptr;
+        if (stream_ == nullptr) {
+            return false;
+        }
+        stream_->set_max_read_bytes(max_read_bytes);
+        return true;
     }
 
     /// Closes the connection and notifies the owners of its requests.
@@ -195,8 +202,10 @@
         if (stream_ == nullptr) {
             return;
         }
+        const bool waits_for_answer =
+            is_memory_short() && !requests_.empty() && requests_.back()->is_body_complete();
         const bool is_pipeline_full = requests_.size() >= max_pipelined_requests;
-        if (has_full_body_buffer() || is_pipeline_full) {
+        if (has_full_body_buffer() || is_pipeline_full || waits_for_answer) {
             stream_->pause_reading();
         } else {
             stream_->resume_reading();
@@ -223,9 +232,11 @@
     }
 
 private:
+    bool is_memory_short() const { return owner_.memory_ != nullptr && owner_.memory_->is_short(); }
+
     bool has_full_body_buffer() const {
-        return !requests_.empty() &&
-               requests_.back()->body_size() > owner_.limits_.max_waiting_body_bytes;
+        const auto max_bytes = is_memory_short() ? 0 : owner_.limits_.max_waiting_body_bytes;
+        return !requests_.empty() && requests_.back()->body_size() > max_bytes;
     }
 
     void on_data(std::string_view bytes) {
@@ -519,6 +530,10 @@
     impl_->limits_ = limits;
 }
 
+void server::set_body_memory(const body_memory& memory) {
+    impl_->memory_ = &memory;
+}
+
 void server::close_connections_after_answers() {
     impl_->closes_after_answers_ = true;
 }
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -1,5 +1,6 @@
 #include <trefoil/http1/tcp_stream.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -133,6 +134,8 @@
                poll(&asked, 1, 0) > 0;
     }
 
+    void set_max_read_bytes(std::size_t bytes) { max_read_bytes_ = bytes; }
+
     void pause() {
         is_paused_ = true;
         uv_read_stop(stream());
@@ -217,8 +220,9 @@
         }
         uv_read_start(
             stream(),
-            [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
-                *buffer = uv_buf_init(shared_read_buffer().data(), read_buffer_bytes);
+            [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+                const auto size = static_cast<impl*>(handle->data)->max_read_bytes_;
+                *buffer = uv_buf_init(shared_read_buffer().data(), static_cast<unsigned>(size));
             },
             [](uv_stream_t* from, ssize_t count, const uv_buf_t* buffer) {
                 static_cast<impl*>(from->data)->on_read(count, buffer->base);
@@ -322,6 +326,7 @@
     /// Bytes written before the connection is established.
     std::string unsent_before_connect_;
     std::size_t unsent_ = 0;
+    std::size_t max_read_bytes_ = read_buffer_bytes;
     int open_handles_ = 2;
     int user_timeout_ms_ = user_timeout_ms;
     bool is_connected_ = false;
@@ -375,6 +380,10 @@
     return impl_->has_peer_ended();
 }
 
+void tcp_stream::set_max_read_bytes(std::size_t bytes) {
+    impl_->set_max_read_bytes(std::min(bytes, read_buffer_bytes));
+}
+
 void tcp_stream::pause_reading() {
     impl_->pause();
 }
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include <trefoil/base/time.hpp>
+#include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/message.hpp>
 #include <trefoil/wire/call_context.hpp>
 
@@ -21,6 +22,13 @@
 /// No more of a streamed body is taken from its sender while this many bytes of it wait to be
 /// written.
 inline constexpr std::size_t max_unsent_body_bytes = 128U << 10U;
+/// Replaces both while the memory for bodies is short.
+inline constexpr std::size_t max_body_bytes_when_short = 8U << 10U;
+
+/// Maximum size of a body that is buffered completely at present.
+inline std::size_t max_buffered_bytes(const http1::body_memory& memory) {
+    return memory.is_short() ? max_body_bytes_when_short : max_buffered_body_bytes;
+}
 
 /// What is known of the calls that a target made while it ran a request, from best to worst.
 enum class downstream_state : std::uint8_t {
--- a/libs/proxy/src/forward_body.cpp
+++ b/libs/proxy/src/forward_body.cpp
@@ -2,8 +2,9 @@
 
 namespace trefoil {
 
-bool forward_body(http1::served_request& from, attempt& to) {
-    if (to.unsent_bytes() >= max_unsent_body_bytes) {
+bool forward_body(http1::served_request& from, attempt& to, const http1::body_memory& memory) {
+    const auto max_unsent = memory.is_short() ? max_body_bytes_when_short : max_unsent_body_bytes;
+    if (to.unsent_bytes() >= max_unsent) {
         return false;
     }
     to.send_body(from.take_body());
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -13,7 +13,7 @@
 }
 
 inbound_call::inbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
-    : state_(state), request_(std::move(request)), arrived_(state.now()) {}
+    : state_(state), request_(std::move(request)), arrived_(state.now()), held_(state.bodies) {}
 
 void inbound_call::start() {
     const auto& headers = request_->head().headers;
@@ -49,6 +49,7 @@
                             [self] {
                                 self->is_finished_ = true;
                                 self->attempt_.reset();
+                                self->note_held_bytes();
                             },
                             [self] {
                                 if (self->relay_ && self->attempt_ != nullptr) {
@@ -67,15 +68,22 @@
         return;
     }
     body_ += request_->take_body();
-    if (request_->is_body_complete() || body_.size() > max_buffered_body_bytes) {
+    note_held_bytes();
+    if (request_->is_body_complete() || body_.size() > max_buffered_bytes(state_.bodies)) {
         submit();
     }
 }
 
 void inbound_call::send_more_body() {
     if (!is_finished_ && !is_body_sent_ && attempt_ != nullptr) {
-        is_body_sent_ = forward_body(*request_, *attempt_);
+        is_body_sent_ = forward_body(*request_, *attempt_, state_.bodies);
     }
+    note_held_bytes();
+}
+
+void inbound_call::note_held_bytes() {
+    const auto unsent = attempt_ != nullptr ? attempt_->unsent_bytes() : 0;
+    held_.set(is_finished_ ? 0 : request_->body_size() + body_.capacity() + unsent);
 }
 
 target_request inbound_call::make_target_request() {
@@ -111,6 +119,7 @@
     }
     attempt_ = std::move(std::get<std::unique_ptr<attempt>>(made));
     attempt_->set_drained_handler([this] { send_more_body(); });
+    note_held_bytes();
 }
 
 void inbound_call::handle_event(attempt_event event) {
@@ -179,6 +188,8 @@
     const auto self = shared_from_this();
     is_finished_ = true;
     attempt_.reset();
+    body_ = {};
+    note_held_bytes();
     request_->set_handlers({});
 }
 
--- a/libs/proxy/src/inbound_call.hpp
+++ b/libs/proxy/src/inbound_call.hpp
@@ -26,6 +26,8 @@
     void body_arrived();
     /// Passes on what has arrived of a streamed body if the attempt has room for it.
     void send_more_body();
+    /// Notes how much the request holds for its sender.
+    void note_held_bytes();
     void submit();
     target_request make_target_request();
     void handle_event(attempt_event event);
@@ -40,6 +42,7 @@
     std::string request_id_;
     /// The part of the body that was taken from the peer before the request is submitted.
     std::string body_;
+    http1::body_memory_share held_;
     std::unique_ptr<attempt> attempt_;
     std::optional<reply_relay> relay_;
     bool is_submitted_ = false;
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -58,7 +58,7 @@
 }
 
 outbound_call::outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
-    : state_(state), request_(std::move(request)), arrived_(state.now()),
+    : state_(state), request_(std::move(request)), arrived_(state.now()), held_(state.bodies),
       timer_(state.loop, [this] {
           const auto self = shared_from_this();
           handle_timeout();
@@ -107,7 +107,8 @@
         return;
     }
     body_ += request_->take_body();
-    if (!request_->is_body_complete() && body_.size() <= max_buffered_body_bytes) {
+    note_held_bytes();
+    if (!request_->is_body_complete() && body_.size() <= max_buffered_bytes(state_.bodies)) {
         return;
     }
     is_started_ = true;
@@ -118,8 +119,15 @@
 
 void outbound_call::send_more_body() {
     if (!is_finished_ && !is_body_complete_ && attempt_ && attempt_->operation != nullptr) {
-        is_body_complete_ = forward_body(*request_, *attempt_->operation);
+        is_body_complete_ = forward_body(*request_, *attempt_->operation, state_.bodies);
     }
+    note_held_bytes();
+}
+
+void outbound_call::note_held_bytes() {
+    const bool has_attempt = attempt_ && attempt_->operation != nullptr;
+    const auto unsent = has_attempt ? attempt_->operation->unsent_bytes() : 0;
+    held_.set(is_finished_ ? 0 : request_->body_size() + body_.capacity() + unsent);
 }
 
 std::string outbound_call::body_to_send() {
@@ -249,6 +257,7 @@
         }
         attempt_->operation = std::move(std::get<std::unique_ptr<attempt>>(made));
         attempt_->operation->set_drained_handler([this] { send_more_body(); });
+        note_held_bytes();
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
@@ -258,6 +267,7 @@
                             current_terms(), state_.placer.rate_limit(instance.id)},
                            std::move(handler));
     attempt_->operation->set_drained_handler([this] { send_more_body(); });
+    note_held_bytes();
 }
 
 void outbound_call::handle_event(attempt_event event) {
@@ -349,6 +359,7 @@
     const bool is_complete = reply.is_complete;
     downstream_ = reply.downstream;
     body_ = {};
+    note_held_bytes();
     relay_.emplace(request_);
     relay_->begin(std::move(reply), {});
     if (is_complete) {
@@ -457,6 +468,8 @@
 void outbound_call::end(call_result result, int status, std::string_view cause) {
     const auto self = shared_from_this();
     is_finished_ = true;
+    body_ = {};
+    note_held_bytes();
     timer_.stop();
     report_to_parent(result);
     const auto took = elapsed();
--- a/libs/proxy/src/outbound_call.hpp
+++ b/libs/proxy/src/outbound_call.hpp
@@ -49,6 +49,8 @@
     void body_arrived();
     /// Passes on what has arrived of a streamed body if the attempt has room for it.
     void send_more_body();
+    /// Notes how much the request holds for its sender.
+    void note_held_bytes();
     /// Returns the body, or its first part, for an attempt. Keeps it if another attempt may follow.
     std::string body_to_send();
     void handle_client_close();
@@ -95,6 +97,7 @@
     /// The part of the body that was taken from the client and that no attempt has got, or all of
     /// it if it may have to be sent again.
     std::string body_;
+    http1::body_memory_share held_;
     bool is_body_complete_ = false;
     /// True if the body is streamed. A streamed body is not buffered and cannot be sent again.
     bool is_body_streamed_ = false;
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -101,6 +101,7 @@
                 return opened.status();
             }
             *slot = std::move(*opened);
+            (*slot)->set_body_memory(state_.bodies);
         }
         watch_signal(SIGTERM, [](uv_signal_t* handle, int) { impl_of(handle).stop(); });
         watch_signal(SIGINT, [](uv_signal_t* handle, int) { impl_of(handle).stop(); });
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -9,6 +9,7 @@
 
 #include <trefoil/base/log_queue.hpp>
 #include <trefoil/base/random.hpp>
+#include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/client.hpp>
 #include <trefoil/proxy/proxy_settings.hpp>
 #include <trefoil/traffic/fleet_retry_limiter.hpp>
@@ -25,6 +26,9 @@
 
 namespace trefoil {
 
+/// Bytes of request bodies that a process holds before it takes less of each.
+inline constexpr std::size_t max_held_body_bytes = 24U << 20U;
+
 /// Routes, instances, routing and admission state, and connections of a proxy. Exists as long as
 /// the process.
 struct proxy_state {
@@ -62,6 +66,8 @@
     void broadcast_crash(const crash_notice& notice);
 
     uv_loop_s* loop;
+    /// Memory for the request bodies of all calls.
+    http1::body_memory bodies{max_held_body_bytes};
     proxy_settings settings;
     log_queue log;
     proxy_metrics metrics;
--- a/libs/proxy/tests/upload_site.hpp
+++ b/libs/proxy/tests/upload_site.hpp
@@ -19,16 +19,19 @@
 
 namespace trefoil {
 
-/// Returns the byte of a body at a position, so that lost or moved bytes are seen.
-inline char body_byte(std::size_t at) {
-    return static_cast<char>((at * 7 + at / 251) & 0xffU);
-}
-
-/// Returns a part of that body.
+/// Returns a part of a body, so made that lost or moved bytes are seen.
 inline std::string body_part(std::size_t from, std::size_t count) {
-    std::string made(count, '\0');
-    for (std::size_t i = 0; i < count; ++i) {
-        made[i] = body_byte(from + i);
+    constexpr std::size_t period = 65521;
+    static const std::string bytes = [] {
+        std::string made;
+        for (std::size_t i = 0; i < period; ++i) {
+            made += static_cast<char>((i * 7 + i / 251) & 0xffU);
+        }
+        return made;
+    }();
+    std::string made;
+    while (made.size() < count) {
+        made += bytes.substr((from + made.size()) % period, count - made.size());
     }
     return made;
 }
@@ -43,7 +46,7 @@
         sockaddr_in address{};
         uv_ip4_addr(where.ip.c_str(), where.port, &address);
         REQUIRE(uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&address), 0) == 0);
-        REQUIRE(uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 64,
+        REQUIRE(uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 1024,
                           [](uv_stream_t* listener, int) {
                               static_cast<slow_target*>(listener->data)->accept(listener);
                           }) == 0);
@@ -143,10 +146,8 @@
     }
 
     void take(const std::string& bytes) {
-        for (const auto byte : bytes) {
-            is_body_right = is_body_right && byte == body_byte(body_bytes);
-            ++body_bytes;
-        }
+        is_body_right = is_body_right && bytes == body_part(body_bytes, bytes.size());
+        body_bytes += bytes.size();
     }
 
     void end(connection_state& from) {
@@ -184,6 +185,7 @@
 
     /// Bytes of the body that the connection has taken.
     std::size_t taken() const { return sent_ - std::min(sent_, stream_->unsent_bytes()); }
+    std::size_t unsent_bytes() const { return stream_->unsent_bytes(); }
     bool is_sent() const { return sent_ == size_ && stream_->unsent_bytes() == 0; }
     bool is_answered(int count = 1) const {
         int found = 0;
@@ -206,7 +208,7 @@
     void send_more() {
         stream_->write(std::exchange(head_, {}));
         while (sent_ < size_ && stream_->unsent_bytes() == 0) {
-            const auto count = std::min<std::size_t>(1U << 20U, size_ - sent_);
+            const auto count = std::min<std::size_t>(256U << 10U, size_ - sent_);
             auto bytes = body_part(sent_, count);
             sent_ += count;
             if (is_chunked_) {
@@ -229,7 +231,8 @@
     two_machine_site site;
     std::unique_ptr<slow_target> target;
 
-    explicit upload_site(std::size_t target_machine, duration timeout = 8s) {
+    explicit upload_site(std::size_t target_machine, duration timeout = 8s, std::uint32_t slots = 4)
+        : site(slots) {
         // Writing to a connection that the node has closed must not end the test.
         std::signal(SIGPIPE, SIG_IGN);
         site.targets[target_machine].reset();
