--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -12,6 +12,7 @@
 
 #include <trefoil/base/endpoint.hpp>
 #include <trefoil/base/time.hpp>
+#include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/message.hpp>
 
 struct uv_loop_s;
@@ -31,6 +32,9 @@
     /// A request whose Content-Length is larger is answered with status 413. The connection of a
     /// request whose body exceeds the limit during reading is closed.
     std::uint64_t max_body_bytes = 64U << 20U;
+    /// Reading from a connection is paused while more bytes of a request body than this wait to be
+    /// taken.
+    std::size_t max_waiting_body_bytes = 512U << 10U;
     /// Maximum time from the first byte of a request head to its end. A slower request is answered
     /// with status 408.
     std::chrono::milliseconds head_timeout{3000};
@@ -113,6 +117,11 @@
     /// limits apply to all connections.
     void set_limits(server_limits limits);
 
+    /// Sets the memory for request bodies. While it is short, reading from a connection is paused
+    /// as soon as bytes of a body wait to be taken, and between a complete request and its answer.
+    /// The memory must outlive the server.
+    void set_body_memory(const body_memory& memory);
+
     /// Adds `connection: close` to every further response and closes the connection after it.
     void close_connections_after_answers();
 
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -63,12 +63,18 @@
     /// True if the peer's machine has not acknowledged all bytes.
     bool has_unacknowledged_bytes() const;
     bool is_connected() const;
+    /// True if the peer has closed or reset the connection. Also known while reading is paused, but
+    /// only once the peer's last bytes have been received.
+    bool has_peer_ended() const;
 
     /// Ends the connection when data has been unacknowledged for this long, even if the peer is
     /// alive and only keeps its receive window closed. Without a value, which is the default, only
     /// a peer that is silent for 2.5 seconds ends it.
     void set_user_timeout(std::optional<std::chrono::milliseconds> timeout);
 
+    /// Sets the number of bytes that are read at once.
+    void set_max_read_bytes(std::size_t bytes);
+
     void pause_reading();
     void resume_reading();
 
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -19,8 +19,8 @@
 constexpr int accept_backlog = 1024;
 /// Maximum number of requests of one connection that are passed on before the first is answered.
 constexpr std::size_t max_pipelined_requests = 32;
-/// Reading from a connection is paused while more bytes of a request body than this are buffered.
-constexpr std::size_t max_buffered_body_bytes = 512U << 10U;
+/// A small read, so that a connection that is no longer to be read from has taken little.
+constexpr std::size_t max_read_bytes = 16U << 10U;
 
 response_head make_error_head(int status, std::string reason) {
     response_head head;
@@ -55,6 +55,7 @@
     server_limits limits_;
     request_handler on_request_;
     uv_tcp_t* listener_ = nullptr;
+    const body_memory* memory_ = nullptr;
     bool closes_after_answers_ = false;
     std::size_t pending_ = 0;
     std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
@@ -80,9 +81,12 @@
     bool is_next() const override { return is_first_; }
     std::uint64_t acknowledged_bytes() const override;
 
+    /// Adds to the body. The rest of the body of an answered request is discarded.
     void add_body(const std::string& bytes) {
-        body_ += bytes;
-        call(handlers_.on_body);
+        if (!is_answered_) {
+            body_ += bytes;
+            call(handlers_.on_body);
+        }
     }
     void complete_body() {
         is_body_complete_ = true;
@@ -147,7 +151,11 @@
                                       [this](std::string_view bytes) { on_data(bytes); },
                                       [this](close_reason) { close(); },
                                       [this] { on_drained(); }});
-        return stream_ != nullptr;
+        if (stream_ == nullptr) {
+            return false;
+        }
+        stream_->set_max_read_bytes(max_read_bytes);
+        return true;
     }
 
     /// Closes the connection and notifies the owners of its requests.
@@ -233,10 +241,10 @@
         if (stream_ == nullptr) {
             return;
         }
-        const bool is_body_buffer_full =
-            !requests_.empty() && requests_.back()->body_size() > max_buffered_body_bytes;
+        const bool waits_for_answer =
+            is_memory_short() && !requests_.empty() && requests_.back()->is_body_complete();
         const bool is_pipeline_full = requests_.size() >= max_pipelined_requests;
-        if (is_body_buffer_full || is_pipeline_full) {
+        if (has_full_body_buffer() || is_pipeline_full || waits_for_answer) {
             stream_->pause_reading();
         } else {
             stream_->resume_reading();
@@ -247,6 +255,10 @@
         const auto age = now - last_activity_;
         const auto& limits = owner_.limits_;
         if (!requests_.empty()) {
+            // While reading is paused, the end of the connection is not reported.
+            if (has_full_body_buffer() && stream_->has_peer_ended()) {
+                close();
+            }
             return;
         }
         if (parser_.is_in_head()) {
@@ -260,6 +272,13 @@
     }
 
 private:
+    bool is_memory_short() const { return owner_.memory_ != nullptr && owner_.memory_->is_short(); }
+
+    bool has_full_body_buffer() const {
+        const auto max_bytes = is_memory_short() ? 0 : owner_.limits_.max_waiting_body_bytes;
+        return !requests_.empty() && requests_.back()->body_size() > max_bytes;
+    }
+
     void on_data(std::string_view bytes) {
         const auto self = shared_from_this();
         last_activity_ = uv_now(owner_.loop_);
@@ -459,6 +478,8 @@
         bytes += body;
     }
     is_answered_ = true;
+    body_.clear();
+    body_.shrink_to_fit();
     output_ += bytes;
     owner->send_ready_output();
 }
@@ -492,6 +513,8 @@
         output_ += last_chunk;
     }
     is_answered_ = true;
+    body_.clear();
+    body_.shrink_to_fit();
     if (const auto owner = owner_.lock()) {
         owner->send_ready_output();
     }
@@ -593,6 +616,10 @@
     impl_->limits_ = limits;
 }
 
+void server::set_body_memory(const body_memory& memory) {
+    impl_->memory_ = &memory;
+}
+
 void server::close_connections_after_answers() {
     impl_->closes_after_answers_ = true;
 }
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -1,10 +1,12 @@
 #include <trefoil/http1/tcp_stream.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -142,6 +144,14 @@
     }
     bool is_connected() const { return is_connected_; }
 
+    bool has_peer_ended() {
+        pollfd asked{-1, POLLRDHUP, 0};
+        return uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &asked.fd) == 0 &&
+               poll(&asked, 1, 0) > 0;
+    }
+
+    void set_max_read_bytes(std::size_t bytes) { max_read_bytes_ = bytes; }
+
     void pause() {
         is_paused_ = true;
         uv_read_stop(stream());
@@ -203,7 +213,13 @@
             const auto handler = handlers_.on_connected;
             handler();
         }
+        if (waiting.empty()) {
+            return;
+        }
         write(std::move(waiting));
+        if (unsent_ == 0) {
+            report_drained();
+        }
     }
 
     tcp_state state() const {
@@ -310,8 +326,9 @@
         }
         uv_read_start(
             stream(),
-            [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
-                *buffer = uv_buf_init(shared_read_buffer().data(), read_buffer_bytes);
+            [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+                const auto size = static_cast<impl*>(handle->data)->max_read_bytes_;
+                *buffer = uv_buf_init(shared_read_buffer().data(), static_cast<unsigned>(size));
             },
             [](uv_stream_t* from, ssize_t count, const uv_buf_t* buffer) {
                 static_cast<impl*>(from->data)->on_read(count, buffer->base);
@@ -376,7 +393,13 @@
         }
         if (is_draining_) {
             close_gently(true);
-        } else if (handlers_.on_drained) {
+        } else {
+            report_drained();
+        }
+    }
+
+    void report_drained() {
+        if (!is_closing_ && handlers_.on_drained) {
             const auto handler = handlers_.on_drained;
             handler();
         }
@@ -407,6 +430,7 @@
     /// Bytes written before the connection is established.
     std::string unsent_before_connect_;
     std::size_t unsent_ = 0;
+    std::size_t max_read_bytes_ = read_buffer_bytes;
     int open_handles_ = 3;
     int user_timeout_ms_ = default_user_timeout_ms;
     /// Bytes that the peer had acknowledged at the last check of the draining connection and of the
@@ -474,6 +498,14 @@
     return impl_->is_connected();
 }
 
+bool tcp_stream::has_peer_ended() const {
+    return impl_->has_peer_ended();
+}
+
+void tcp_stream::set_max_read_bytes(std::size_t bytes) {
+    impl_->set_max_read_bytes(std::min(bytes, read_buffer_bytes));
+}
+
 void tcp_stream::pause_reading() {
     impl_->pause();
 }
--- a/libs/proxy/src/attempt.hpp
+++ b/libs/proxy/src/attempt.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include <trefoil/base/time.hpp>
+#include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/message.hpp>
 #include <trefoil/wire/call_context.hpp>
 
@@ -18,6 +19,16 @@
 /// Request bodies up to this size are buffered completely before an attempt, so that they can be
 /// sent again. Larger bodies are streamed.
 inline constexpr std::size_t max_buffered_body_bytes = 256U << 10U;
+/// No more of a streamed body is taken from its sender while this many bytes of it wait to be
+/// written.
+inline constexpr std::size_t max_unsent_body_bytes = 128U << 10U;
+/// Replaces both while the memory for bodies is short.
+inline constexpr std::size_t max_body_bytes_when_short = 8U << 10U;
+
+/// Maximum size of a body that is buffered completely at present.
+inline std::size_t max_buffered_bytes(const http1::body_memory& memory) {
+    return memory.is_short() ? max_body_bytes_when_short : max_buffered_body_bytes;
+}
 
 /// What is known of the calls that a target made while it ran a request, from best to worst.
 enum class downstream_state : std::uint8_t {
@@ -88,6 +99,9 @@
     virtual void finish_body() = 0;
     /// Number of request bytes that have not been written yet.
     virtual std::size_t unsent_bytes() const = 0;
+    /// Sets a function that is called when all unsent request bytes have been written. It must not
+    /// destroy the attempt.
+    virtual void set_drained_handler(std::function<void()> on_drained) = 0;
     /// False as long as it is certain that no target has received the request.
     virtual bool may_have_run() const = 0;
     /// Stops reading the response, for backpressure.
--- a/libs/proxy/src/inbound_call.cpp
+++ b/libs/proxy/src/inbound_call.cpp
@@ -3,6 +3,7 @@
 #include <trefoil/base/overloaded.hpp>
 #include <trefoil/http1/header_rules.hpp>
 
+#include "forward_body.hpp"
 #include "local_response.hpp"
 
 namespace trefoil {
@@ -12,7 +13,7 @@
 }
 
 inbound_call::inbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
-    : state_(state), request_(std::move(request)), arrived_(state.now()) {}
+    : state_(state), request_(std::move(request)), arrived_(state.now()), held_(state.bodies) {}
 
 void inbound_call::start() {
     const auto& headers = request_->head().headers;
@@ -48,6 +49,7 @@
                             [self] {
                                 self->is_finished_ = true;
                                 self->attempt_.reset();
+                                self->note_held_bytes();
                             },
                             [self] {
                                 if (self->relay_ && self->attempt_ != nullptr) {
@@ -61,21 +63,29 @@
     if (is_finished_) {
         return;
     }
-    if (!is_submitted_) {
-        if (request_->is_body_complete() || request_->body_size() > max_buffered_body_bytes) {
-            submit();
-        }
+    if (is_submitted_) {
+        send_more_body();
         return;
     }
-    if (!is_body_sent_ && attempt_ != nullptr) {
-        attempt_->send_body(request_->take_body());
-        if (request_->is_body_complete()) {
-            is_body_sent_ = true;
-            attempt_->finish_body();
-        }
+    body_ += request_->take_body();
+    note_held_bytes();
+    if (request_->is_body_complete() || body_.size() > max_buffered_bytes(state_.bodies)) {
+        submit();
     }
 }
 
+void inbound_call::send_more_body() {
+    if (!is_finished_ && !is_body_sent_ && attempt_ != nullptr) {
+        is_body_sent_ = forward_body(*request_, *attempt_, state_.bodies);
+    }
+    note_held_bytes();
+}
+
+void inbound_call::note_held_bytes() {
+    const auto unsent = attempt_ != nullptr ? attempt_->unsent_bytes() : 0;
+    held_.set(is_finished_ ? 0 : request_->body_size() + body_.capacity() + unsent);
+}
+
 target_request inbound_call::make_target_request() {
     const auto& original = request_->head();
     target_request made;
@@ -86,7 +96,7 @@
                   [](const http_header& field) { return is_peer_field(field.name); });
     made.head.framing = original.framing;
     made.head.content_length = original.content_length;
-    made.body = request_->take_body();
+    made.body = std::move(body_);
     made.is_body_complete = request_->is_body_complete();
     made.terms = terms_;
     made.terms.remaining = std::max<duration>(terms_.remaining - (state_.now() - arrived_), 1ms);
@@ -108,6 +118,8 @@
         return;
     }
     attempt_ = std::move(std::get<std::unique_ptr<attempt>>(made));
+    attempt_->set_drained_handler([this] { send_more_body(); });
+    note_held_bytes();
 }
 
 void inbound_call::handle_event(attempt_event event) {
@@ -176,6 +188,9 @@
     const auto self = shared_from_this();
     is_finished_ = true;
     attempt_.reset();
+    body_.clear();
+    body_.shrink_to_fit();
+    note_held_bytes();
     request_->set_handlers({});
 }
 
--- a/libs/proxy/src/outbound_call.cpp
+++ b/libs/proxy/src/outbound_call.cpp
@@ -8,6 +8,7 @@
 #include <trefoil/http1/header_rules.hpp>
 
 #include "finished_call.hpp"
+#include "forward_body.hpp"
 #include "local_response.hpp"
 #include "peer_attempt.hpp"
 #include "target_announcement.hpp"
@@ -77,7 +78,7 @@
 }
 
 outbound_call::outbound_call(proxy_state& state, std::shared_ptr<http1::served_request> request)
-    : state_(state), request_(std::move(request)), arrived_(state.now()),
+    : state_(state), request_(std::move(request)), arrived_(state.now()), held_(state.bodies),
       timer_(state.loop, [this] {
           const auto self = shared_from_this();
           handle_timeout();
@@ -125,27 +126,32 @@
         send_more_body();
         return;
     }
-    if (!request_->is_body_complete() && request_->body_size() <= max_buffered_body_bytes) {
+    body_ += request_->take_body();
+    note_held_bytes();
+    if (!request_->is_body_complete() && body_.size() <= max_buffered_bytes(state_.bodies)) {
         return;
     }
     is_started_ = true;
     is_body_complete_ = request_->is_body_complete();
     is_body_streamed_ = !is_body_complete_;
-    body_ = request_->take_body();
     start_next_attempt();
 }
 
 void outbound_call::send_more_body() {
-    if (is_body_complete_ || !attempt_) {
-        return;
-    }
-    auto& operation = *attempt_->operation;
-    operation.send_body(request_->take_body());
-    if (request_->is_body_complete()) {
-        is_body_complete_ = true;
-        body_.clear();
-        operation.finish_body();
+    if (!is_finished_ && !is_body_complete_ && attempt_ && attempt_->operation != nullptr) {
+        is_body_complete_ = forward_body(*request_, *attempt_->operation, state_.bodies);
     }
+    note_held_bytes();
+}
+
+void outbound_call::note_held_bytes() {
+    const bool has_attempt = attempt_ && attempt_->operation != nullptr;
+    const auto unsent = has_attempt ? attempt_->operation->unsent_bytes() : 0;
+    held_.set(is_finished_ ? 0 : request_->body_size() + body_.capacity() + unsent);
+}
+
+std::string outbound_call::body_to_send() {
+    return is_body_streamed_ ? std::exchange(body_, {}) : body_;
 }
 
 void outbound_call::handle_client_close() {
@@ -263,21 +269,25 @@
     auto handler = [this](attempt_event event) { handle_event(std::move(event)); };
     if (instance.target == state_.settings.target) {
         auto made = state_.dispatcher.submit(
-            {make_head(instance), body_, is_body_complete_, current_terms(), request_id_},
+            {make_head(instance), body_to_send(), is_body_complete_, current_terms(), request_id_},
             std::move(handler));
         if (auto* refused = std::get_if<attempt_refusal>(&made)) {
             handle_event(*refused);
             return;
         }
         attempt_->operation = std::move(std::get<std::unique_ptr<attempt>>(made));
+        attempt_->operation->set_drained_handler([this] { send_more_body(); });
+        note_held_bytes();
         return;
     }
     const endpoint peer{instance.target.ip, state_.settings.peer_listener.port};
     attempt_->operation =
         start_peer_attempt(state_.peers, state_.settings.header_names,
-                           {peer, make_head(instance), body_, is_body_complete_, current_terms(),
-                            state_.placer.rate_limit(instance.id)},
+                           {peer, make_head(instance), body_to_send(), is_body_complete_,
+                            current_terms(), state_.placer.rate_limit(instance.id)},
                            std::move(handler));
+    attempt_->operation->set_drained_handler([this] { send_more_body(); });
+    note_held_bytes();
 }
 
 void outbound_call::handle_event(attempt_event event) {
@@ -368,6 +378,9 @@
     const auto status = reply.head.status;
     const bool is_complete = reply.is_complete;
     downstream_ = reply.downstream;
+    body_.clear();
+    body_.shrink_to_fit();
+    note_held_bytes();
     relay_.emplace(request_);
     relay_->begin(std::move(reply), {});
     if (is_complete) {
@@ -493,6 +506,9 @@
 void outbound_call::end(call_result result, int status, std::string_view cause) {
     const auto self = shared_from_this();
     is_finished_ = true;
+    body_.clear();
+    body_.shrink_to_fit();
+    note_held_bytes();
     timer_.stop();
     report_to_parent(result);
     const auto took = elapsed();
