--- a/tests/support/message_sequence.hpp
+++ b/tests/support/message_sequence.hpp
@@ -15,11 +15,12 @@
 namespace trefoil::http1 {
 
 /// Appends an event in the form that does not depend on how the bytes were split: adjacent pieces
-/// of a body are joined, and `is_followed` is false.
+/// of a body are joined, and nothing is said to follow a message.
 template <class Event>
 void append_unsplit(std::vector<Event>& to, Event event) {
     if (auto* end = std::get_if<message_end>(&event)) {
         end->is_followed = false;
+        end->next_bytes.clear();
     }
     auto* piece = std::get_if<body_piece>(&event);
     auto* last = to.empty() ? nullptr : std::get_if<body_piece>(&to.back());
