Let small pieces that wait to be written cost about their bytes

What callers saw: nothing until the memory ends; a worker that answers in chunks of one byte without end made the process large although what waits is bounded in bytes: each piece was a write request of libuv and a string of its own.

Change: a stream has one write in progress. What is written meanwhile, or before the connection is established, is collected in one string that becomes the next write.

Test: "one-byte pieces cost about their bytes while they wait" failed before: 31,459,280 bytes of heap for 131,072 pieces, against a bound of 266,240. It passes now, and the bytes arrive in order.

Not changed: the parser still makes an event of each chunk of a read, about 11,000 for 64 KiB of them; they live until the read is handled. Putting them together there would change what parser_test pins.

--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -60,6 +60,7 @@
         uv_timer_init(loop, &timer_);
         timer_.data = this;
         connect_.data = this;
+        write_.data = this;
     }
 
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
@@ -98,18 +99,15 @@
         if (is_closing_ || bytes.empty()) {
             return;
         }
-        if (!is_connected_) {
-            unsent_before_connect_ += bytes;
+        if (!is_connected_ || !in_flight_.empty()) {
+            waiting_ += bytes;
             return;
         }
-        std::size_t sent = 0;
-        if (unsent_ == 0) {
-            const auto buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
-            const int result = uv_try_write(stream(), &buffer, 1);
-            sent = result > 0 ? static_cast<std::size_t>(result) : 0;
-        }
+        const auto buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+        const int result = uv_try_write(stream(), &buffer, 1);
+        const auto sent = result > 0 ? static_cast<std::size_t>(result) : 0;
         if (sent < bytes.size()) {
-            enqueue(bytes.substr(sent));
+            start_write(bytes.substr(sent));
         }
     }
 
@@ -125,7 +123,7 @@
         }
     }
 
-    std::size_t unsent_bytes() const { return unsent_ + unsent_before_connect_.size(); }
+    std::size_t unsent_bytes() const { return in_flight_.size() + waiting_.size(); }
     bool is_connected() const { return is_connected_; }
 
     bool has_peer_ended() {
@@ -152,7 +150,7 @@
     /// write buffer has been sent.
     void release(bool drains) {
         handlers_ = {};
-        if (drains && is_connected_ && unsent_ > 0) {
+        if (drains && is_connected_ && unsent_bytes() > 0) {
             is_draining_ = true;
             uv_read_stop(stream());
             uv_timer_start(
@@ -175,11 +173,6 @@
     }
 
 private:
-    struct write_request {
-        uv_write_t request;
-        std::string bytes;
-    };
-
     void on_connect(int status) {
         if (is_closing_) {
             return;
@@ -189,7 +182,7 @@
             return;
         }
         on_established();
-        auto waiting = std::exchange(unsent_before_connect_, {});
+        auto waiting = std::exchange(waiting_, {});
         if (handlers_.on_connected) {
             // Calls a copy, because the handler may destroy the stream and with it the original.
             const auto handler = handlers_.on_connected;
@@ -199,7 +192,7 @@
             return;
         }
         write(std::move(waiting));
-        if (unsent_ == 0) {
+        if (unsent_bytes() == 0) {
             report_drained();
         }
     }
@@ -259,22 +252,21 @@
         }
     }
 
-    void enqueue(std::string bytes) {
-        auto* item = new write_request{{}, std::move(bytes)};
-        unsent_ += item->bytes.size();
-        item->request.data = this;
+    /// Writes bytes that the socket does not accept at once. There is one such write at a time;
+    /// what is written meanwhile is collected for the next one, so that small pieces cost their
+    /// bytes.
+    void start_write(std::string bytes) {
+        in_flight_ = std::move(bytes);
         const auto buffer =
-            uv_buf_init(item->bytes.data(), static_cast<unsigned>(item->bytes.size()));
-        uv_write(&item->request, stream(), &buffer, 1, [](uv_write_t* request, int status) {
-            auto* done = reinterpret_cast<write_request*>(request);
-            auto* owner = static_cast<impl*>(request->data);
-            owner->unsent_ -= done->bytes.size();
-            delete done;
-            owner->on_written(status);
+            uv_buf_init(in_flight_.data(), static_cast<unsigned>(in_flight_.size()));
+        uv_write(&write_, stream(), &buffer, 1, [](uv_write_t* request, int status) {
+            static_cast<impl*>(request->data)->on_written(status);
         });
     }
 
     void on_written(int status) {
+        in_flight_.clear();
+        in_flight_.shrink_to_fit();
         if (is_closing_) {
             return;
         }
@@ -286,7 +278,8 @@
             }
             return;
         }
-        if (unsent_ > 0) {
+        if (!waiting_.empty()) {
+            start_write(std::exchange(waiting_, {}));
             return;
         }
         if (is_draining_) {
@@ -322,10 +315,12 @@
     /// Limits the time of a draining close, and defers the report of a failed connect.
     uv_timer_t timer_{};
     uv_connect_t connect_{};
+    uv_write_t write_{};
     stream_handlers handlers_;
-    /// Bytes written before the connection is established.
-    std::string unsent_before_connect_;
-    std::size_t unsent_ = 0;
+    /// Bytes of the write in progress.
+    std::string in_flight_;
+    /// Bytes to be written after it, or once the connection is established.
+    std::string waiting_;
     std::size_t max_read_bytes_ = read_buffer_bytes;
     int open_handles_ = 2;
     int user_timeout_ms_ = user_timeout_ms;
