Keep the body of answers to polls once, however many nodes read it slowly

What callers would have seen: a reader past its memory. Answers share one body now and write 32 KiB of it at a time, as their node reads. A polling node takes at most 16 MiB (64 before, which decoding multiplies).

--- a/libs/proxy/src/registry_poll_server.cpp
+++ b/libs/proxy/src/registry_poll_server.cpp
@@ -5,6 +5,7 @@
 #include <trefoil/http1/header_rules.hpp>
 
 #include "local_response.hpp"
+#include "shared_body_answer.hpp"
 
 namespace trefoil {
 namespace {
@@ -60,7 +61,8 @@
             cached_after_ == after && cached_difference_.position() == state.replica->position();
         if (!is_cached) {
             cached_difference_ = state.replica->changes_since(after);
-            cached_records_ = encode_records(std::exchange(cached_difference_.records, {}));
+            cached_records_ = std::make_shared<const std::string>(
+                encode_records(std::exchange(cached_difference_.records, {})));
             cached_after_ = after;
         }
         made.difference = cached_difference_;
@@ -72,7 +74,11 @@
         head.headers.push_back(
             {std::string(poll_failure_field), encode_since_failure(*made.since_failure)});
     }
-    poll.request->respond(std::move(head), state.replica == nullptr ? "" : cached_records_);
+    if (state.replica == nullptr || cached_records_->empty()) {
+        poll.request->respond(std::move(head), {});
+    } else {
+        answer_with_shared_body(poll.request, std::move(head), cached_records_);
+    }
 }
 
 void registry_poll_server::close() {
--- a/libs/proxy/src/registry_poll_server.hpp
+++ b/libs/proxy/src/registry_poll_server.hpp
@@ -54,7 +54,7 @@
     /// Records of the last answer, which many nodes ask for alike.
     registry_difference cached_difference_;
     std::optional<registry_position> cached_after_;
-    std::string cached_records_;
+    std::shared_ptr<const std::string> cached_records_;
 };
 
 } // namespace trefoil
--- a/libs/proxy/src/registry_poller.cpp
+++ b/libs/proxy/src/registry_poller.cpp
@@ -10,7 +10,7 @@
 
 constexpr http1::connection_pool_limits pool_limits{1, std::chrono::milliseconds(30'000)};
 /// A larger body is not accepted.
-constexpr std::size_t max_body_bytes = 64U << 20U;
+constexpr std::size_t max_body_bytes = 16U << 20U;
 /// Maximum time without a byte once the answer has begun.
 constexpr duration progress_timeout = 300ms;
 constexpr int status_ok = 200;
