--- a/libs/proxy/tests/long_answer_test.cpp
+++ b/libs/proxy/tests/long_answer_test.cpp
@@ -2,6 +2,7 @@
 // them up.
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,6 +42,8 @@
     std::map<std::string, std::size_t> arrived;
 
     explicit long_answer_site(duration timeout = 600ms) {
+        // As in the program: a peer may close a connection that is still written to.
+        std::signal(SIGPIPE, SIG_IGN);
         site.targets[0].reset();
         target = std::make_unique<scripted_target>(
             &site.loop, endpoint{site.ip(0), site.target_port},
