--- a/libs/http1/tests/small_pieces_test.cpp
+++ b/libs/http1/tests/small_pieces_test.cpp
@@ -4,12 +4,13 @@
 #include <memory>
 #include <string>
 
-#include <malloc.h>
 #include <netinet/in.h>
 #include <uv.h>
 
 #include <trefoil/http1/tcp_stream.hpp>
 
+#include "heap_bytes.hpp"
+
 using namespace trefoil;
 using namespace trefoil::http1;
 
@@ -58,12 +59,6 @@
     }
 };
 
-/// Bytes of the heap in use.
-std::size_t heap_bytes() {
-    const auto info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 } // namespace
 
 TEST_CASE("one-byte pieces cost about their bytes while they wait") {
--- a/libs/proxy/tests/registry_poll_server_test.cpp
+++ b/libs/proxy/tests/registry_poll_server_test.cpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include <fmt/format.h>
-#include <malloc.h>
 #include <unistd.h>
 #include <uv.h>
 
@@ -17,6 +16,7 @@
 #include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/server.hpp>
 
+#include "heap_bytes.hpp"
 #include "registry_poll.hpp"
 #include "registry_poll_server.hpp"
 
@@ -30,12 +30,6 @@
 /// What the answers may hold together: the body once, and a small part for each node.
 constexpr std::size_t max_held_bytes = 24U << 20U;
 
-/// Bytes of the heap in use.
-std::size_t heap_bytes() {
-    const auto info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 /// A node that has sent a poll and stops reading when the answer begins.
 struct polling_node {
     std::unique_ptr<http1::exchange> exchange;
