--- a/libs/proxy/tests/answer_form_test.cpp
+++ b/libs/proxy/tests/answer_form_test.cpp
@@ -3,54 +3,12 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <memory>
 #include <string>
-#include <vector>
 
-#include "scripted_target.hpp"
-#include "two_machine_site.hpp"
+#include "scripted_site.hpp"
 
 using namespace trefoil;
 
-namespace {
-
-/// Two machines; only the target of machine 0 gets requests. It answers each with the same text
-/// behind the status line, the id and the stamp.
-struct scripted_site {
-    two_machine_site site;
-    std::unique_ptr<scripted_target> target;
-    std::string status = "200 OK";
-    std::string answer_rest;
-
-    scripted_site() {
-        site.targets[0].reset();
-        target = std::make_unique<scripted_target>(
-            &site.loop, endpoint{site.ip(0), site.target_port},
-            [this](const scripted_request& request) {
-                target->send(request.connection, "HTTP/1.1 " + status + "\r\nid: " + request.id +
-                                                     "\r\nstamp: s\r\n" + answer_rest);
-            });
-        for (const std::size_t machine : {0U, 1U}) {
-            site.change({site.instance(1, listed_state::draining)}, machine);
-        }
-    }
-
-    /// Sends a request with an id of its own.
-    reply ask(std::size_t machine, const std::string& method = "GET") {
-        site.caller_id = "caller-" + std::to_string(++ids);
-        site.caller_method = method;
-        return site.ask("/write/1", {}, machine);
-    }
-
-    int ids = 0;
-};
-
-std::string field(const reply& got, std::string_view name) {
-    return std::string(find_header(got.headers, name));
-}
-
-} // namespace
-
 TEST_CASE("trailer fields of an answer harm neither it nor the next answers") {
     scripted_site scripted;
     scripted.answer_rest = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\ntiming: 12\r\n\r\n";
