Refuse answers whose status is none

Callers saw: a worker sent an answer with the status 000, and the caller got it as an answer ("HTTP/1.1 0 OK", with the worker's fields and body). The same held for 099, 600 and 999, for one or two digits, for 0200 and for a second blank before the status, with and without a body, for HEAD, and as or behind an interim answer.

Cause: http_parser, without its strict mode, takes a number of any digits up to 999 for a status, and nobody asked whether it is one. The proxy passed on what it had read. It tells only the number, so the digits can't be checked from it.

Change: the parser keeps the first 13 bytes of a message, and one place, response_check, decides whether the head of a response is valid before it becomes an event: three digits, 100 to 599 (RFC 9110 15), followed by a space or the end of the line. All readers of answers use this parser: gates, nodes, polls, notices and the store's client. The exchange fails as bad_answer, which is no promise, and its connection ends. 6010 answer_unusable and the metric name the cause bad_status.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -38,6 +38,8 @@
     malformed,
     /// The connection ended within the response.
     truncated,
+    /// The status is not three digits from 100 to 599.
+    bad_status,
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -61,7 +61,13 @@
 };
 
 /// The reason why a message cannot be parsed. The parser reads nothing more afterwards.
-enum class parse_failure : std::uint8_t { malformed, head_too_large, truncated };
+enum class parse_failure : std::uint8_t {
+    malformed,
+    head_too_large,
+    truncated,
+    /// The status of a response is not three digits from 100 to 599.
+    bad_status,
+};
 
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
 using response_event = std::variant<response_head, body_piece, message_end, parse_failure>;
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -24,6 +24,8 @@
         return "malformed";
     case answer_fault::truncated:
         return "truncated";
+    case answer_fault::bad_status:
+        return "bad_status";
     case answer_fault::endless:
         return "endless";
     case answer_fault::mixed:
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -28,6 +28,19 @@
     return std::chrono::seconds(seconds);
 }
 
+answer_fault fault_of(parse_failure failure) {
+    switch (failure) {
+    case parse_failure::malformed:
+    case parse_failure::head_too_large:
+        return answer_fault::malformed;
+    case parse_failure::truncated:
+        return answer_fault::truncated;
+    case parse_failure::bad_status:
+        return answer_fault::bad_status;
+    }
+    return answer_fault::malformed;
+}
+
 /// True if the Connection field contains `close` or `Close`.
 bool has_connection_close(const std::vector<http_header>& headers) {
     return find_header(headers, "connection").find("lose") != std::string_view::npos;
@@ -130,11 +143,7 @@
         std::visit(overloaded{[&](response_head& head) { on_head(head); },
                               [&](body_piece& piece) { on_body(piece); },
                               [&](const message_end& end) { on_message_end(end); },
-                              [&](parse_failure failure) {
-                                  fail(failure == parse_failure::truncated
-                                           ? answer_fault::truncated
-                                           : answer_fault::malformed);
-                              }},
+                              [&](parse_failure failure) { fail(fault_of(failure)); }},
                    event);
     }
 }
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,6 +13,8 @@
 
 #include <trefoil/http1/message.hpp>
 
+#include "response_check.hpp"
+
 namespace trefoil::http1 {
 
 /// Converts the callbacks of http_parser into events of type Event. It collects the header fields
@@ -91,6 +94,8 @@
         bool is_in_value = false;
         bool has_begun = false;
         bool has_head = false;
+        /// Set if the message is not valid although http_parser accepts it.
+        std::optional<parse_failure> failure;
     };
 
     static parser_core& self(http_parser* parser) {
@@ -100,6 +105,7 @@
     /// Parses up to the end of a message, where complete_message() pauses the parser, or all of
     /// the bytes. Returns the number of bytes parsed.
     std::size_t feed_up_to_message_end(std::string_view bytes) {
+        keep_line_start(bytes);
         const auto parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
         if (resume_after_message()) {
             auto& end = std::get<message_end>(events_->back());
@@ -117,14 +123,25 @@
         const bool is_paused = HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
         if (is_paused) {
             http_parser_init(&parser_, type_);
+            line_start_.clear();
         }
         return is_paused;
     }
 
+    /// Keeps the first bytes of a message, of which http_parser tells only what it makes of them.
+    /// It skips the line ends in front of a message.
+    void keep_line_start(std::string_view bytes) {
+        if (line_start_.empty()) {
+            bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+        }
+        line_start_.append(bytes.substr(0, status_line_start_bytes - line_start_.size()));
+    }
+
     void fail(std::vector<Event>& events) {
         has_failed_ = true;
-        events.push_back(message_.section_bytes > max_head_bytes_ ? parse_failure::head_too_large
-                                                                  : parse_failure::malformed);
+        events.push_back(message_.section_bytes > max_head_bytes_
+                             ? parse_failure::head_too_large
+                             : message_.failure.value_or(parse_failure::malformed));
     }
 
     int begin() {
@@ -205,6 +222,12 @@
         if (!store_header()) {
             return stop;
         }
+        if constexpr (is_response) {
+            message_.failure = check_response(line_start_);
+            if (message_.failure) {
+                return stop;
+            }
+        }
         message_.has_head = true;
         message_.section_bytes = 0;
         // Protocol upgrades are not supported, so bytes after the message belong to the next one.
@@ -236,6 +259,8 @@
     head_filler fill_;
     std::vector<Event>* events_ = nullptr;
     message_state message_;
+    /// The first bytes of the message, at most status_line_start_bytes.
+    std::string line_start_;
     /// Set after a parse error. Further input is ignored.
     bool has_failed_ = false;
     /// Set until the next final response, which has no body.
--- /dev/null
+++ b/libs/http1/src/response_check.cpp
@@ -0,0 +1,30 @@
+#include "response_check.hpp"
+
+#include <algorithm>
+
+namespace trefoil::http1 {
+namespace {
+
+constexpr std::size_t status_at = 9;
+constexpr std::size_t status_digits = 3;
+
+/// True if the status has three digits and is from 100 to 599 (RFC 9112 4, RFC 9110 15).
+bool has_valid_status(std::string_view line_start) {
+    const auto status = line_start.substr(status_at, status_digits);
+    const bool has_digits =
+        std::all_of(status.begin(), status.end(), [](char c) { return c >= '0' && c <= '9'; });
+    const bool is_in_range = status.front() >= '1' && status.front() <= '5';
+    const auto next = line_start[status_at + status_digits];
+    return has_digits && is_in_range && (next == ' ' || next == '\r' || next == '\n');
+}
+
+} // namespace
+
+std::optional<parse_failure> check_response(std::string_view line_start) {
+    if (line_start.size() < status_line_start_bytes || !has_valid_status(line_start)) {
+        return parse_failure::bad_status;
+    }
+    return std::nullopt;
+}
+
+} // namespace trefoil::http1
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -153,6 +153,34 @@
     }
 }
 
+TEST_CASE("an answer that is no valid HTTP fails, names its fault and ends the connection") {
+    struct invalid_case {
+        std::string answer;
+        answer_fault fault;
+    };
+    const std::vector<invalid_case> cases = {
+        {"HTTP/1.1 000 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_status},
+        {"HTTP/1.1 600 -\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_status},
+    };
+    for (const auto& one : cases) {
+        for (const auto* id : {"1", ""}) {
+            CAPTURE(one.answer);
+            CAPTURE(id);
+            test_loop event_loop;
+            raw_target target(&event_loop.loop, {one.answer});
+            client sender(&event_loop.loop, {});
+            exchange_record record;
+            start_request(sender, target.listen_address(), record, id);
+            REQUIRE(event_loop.run_until([&] { return record.is_finished(); }));
+            CHECK(record.has_failed);
+            CHECK(record.failure == exchange_failure::bad_answer);
+            CHECK(record.status == 0);
+            CHECK(record.handle->use().fault == one.fault);
+            CHECK(event_loop.run_until([&] { return target.closed_connections == 1; }));
+        }
+    }
+}
+
 TEST_CASE("an answer without an end is read no faster than its receiver takes it") {
     test_loop event_loop;
     endless_target target(&event_loop.loop, "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "x");
--- a/libs/http1/tests/parser_test.cpp
+++ b/libs/http1/tests/parser_test.cpp
@@ -44,12 +44,15 @@
     return all;
 }
 
-/// Parses the bytes of a connection and returns the events as text. With `is_closed`, an orderly
-/// end of the connection follows the bytes.
-std::string read_answers(const std::string& bytes, bool is_closed = false) {
+/// Parses the bytes of a connection in parts of the given size and returns the events as text. With
+/// `is_closed`, an orderly end of the connection follows the bytes.
+std::string read_answers(const std::string& bytes, bool is_closed = false,
+                         std::size_t piece = 1000) {
     response_parser parser;
     std::vector<response_event> events;
-    parser.feed(bytes, events);
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        parser.feed(std::string_view(bytes).substr(at, piece), events);
+    }
     if (is_closed) {
         parser.finish(events);
     }
@@ -168,6 +171,24 @@
     }
 }
 
+TEST_CASE("an answer whose status is not three digits from 100 to 599 is refused") {
+    for (const std::string status :
+         {"000 OK", "000", "000 ", "099 X", "600 X", "999 X", "20 X", "2 X", "0", "0200 X",
+          "1000 X", " 200 X", "+20 X", "2x0 X", "200OK"}) {
+        const auto bytes = "HTTP/1.1 " + status + "\r\nid: 1\r\nContent-Length: 3\r\n\r\nabc";
+        for (const std::size_t piece : {1000U, 7U, 1U}) {
+            CAPTURE(bytes);
+            CAPTURE(piece);
+            CHECK(read_answers(bytes, true, piece) == "bad; ");
+        }
+    }
+    for (const std::string status : {"200", "200 ", "200  two", "299 Own", "599 X"}) {
+        CAPTURE(status);
+        CHECK(read_answers("HTTP/1.1 " + status + "\r\nContent-Length: 3\r\n\r\nabc") ==
+              status.substr(0, 3) + "; [abc]; end; ");
+    }
+}
+
 TEST_CASE("a space before the colon refuses a request and is removed from an answer") {
     for (const std::string line : {"x : 1", "Content-Length : 0", "Transfer-Encoding : chunked"}) {
         CAPTURE(line);
--- /dev/null
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -0,0 +1,112 @@
+// Answers of a target that are no valid HTTP: a caller beside it and one on another machine get a
+// 502 and nothing of them.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "scripted_site.hpp"
+
+using namespace trefoil;
+
+namespace {
+
+const std::string sound_rest = "content-length: 4\r\n\r\nbody";
+
+/// A part of the target's answers that makes them invalid.
+struct broken_form {
+    std::string version = "HTTP/1.1";
+    std::string status = "200 OK";
+    std::string rest = sound_rest;
+};
+
+/// Checks what a caller gets of an invalid answer, and that the target gets the request, which must
+/// not be repeated, once.
+void check_refused(scripted_site& scripted, std::size_t machine, const std::string& method) {
+    const auto before = scripted.target->requests;
+    const auto got = scripted.ask(machine, method);
+    CHECK(got.status == 502);
+    CHECK_FALSE(got.has_failed);
+    CHECK(field(got, "stamp").empty());
+    CHECK(field(got, fields.not_executed).empty());
+    CHECK(got.body.find("body") == std::string::npos);
+    CHECK(scripted.target->requests == before + 1);
+}
+
+/// Checks that the connection of an invalid answer ends and that the next answer arrives.
+void check_goes_on(scripted_site& scripted, std::size_t machine) {
+    const auto broken = scripted.last_connection;
+    CHECK(scripted.site.run_until([&] { return !scripted.target->is_open(broken); }));
+    scripted.version = "HTTP/1.1";
+    scripted.status = "200 OK";
+    scripted.answer_rest = sound_rest;
+    const auto got = scripted.ask(machine);
+    CHECK(got.status == 200);
+    CHECK(got.body == "body");
+}
+
+void check_never_arrives(const broken_form& broken, const std::string& method = "GET") {
+    CAPTURE(broken.version);
+    CAPTURE(broken.status);
+    CAPTURE(broken.rest);
+    scripted_site scripted;
+    for (const std::size_t machine : {0U, 1U}) {
+        CAPTURE(machine);
+        scripted.version = broken.version;
+        scripted.status = broken.status;
+        scripted.answer_rest = broken.rest;
+        check_refused(scripted, machine, method);
+        check_goes_on(scripted, machine);
+    }
+}
+
+} // namespace
+
+TEST_CASE("an answer whose status is none never reaches a caller") {
+    for (const std::string status :
+         {"000 OK", "000", "000 ", "099 Low", "600 High", "999 High", "20 Short", "2 Short", "0 -",
+          "0200 Long", "1000 Long", " 200 Blank", "+20 Sign", "2x0 Letter"}) {
+        check_never_arrives({.status = status});
+    }
+    check_never_arrives({.status = "000 OK", .rest = "content-length: 0\r\n\r\n"});
+    check_never_arrives({.status = "000 OK", .rest = "content-length: 4\r\n\r\n"}, "HEAD");
+    check_never_arrives({.status = "099 Low\r\n\r\nHTTP/1.1 200 OK"});
+    check_never_arrives({.status = "103 Early Hints\r\n\r\nHTTP/1.1 000 OK"});
+}
+
+TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
+    two_machine_site site;
+    site.targets[0].reset();
+    std::unique_ptr<scripted_target> target;
+    target = std::make_unique<scripted_target>(
+        &site.loop, endpoint{site.ip(0), site.target_port}, [&](const scripted_request& request) {
+            target->send(request.connection,
+                         "HTTP/1.1 000 OK\r\nid: " + request.id + "\r\nstamp: s\r\n" + sound_rest);
+        });
+    std::size_t sent = 0;
+    const auto ask = [&](const std::string& path) {
+        site.caller_id = "caller-" + std::to_string(++sent);
+        return site.ask(path);
+    };
+    CHECK(ask("/write/1").status == 502);
+    CHECK(target->requests + site.reached(1) == sent);
+    while (target->requests < 2 && sent < 20) {
+        CHECK(ask("/read/1").status == 200);
+    }
+    CHECK(target->requests == 2);
+}
+
+TEST_CASE("answers with unusual statuses arrive") {
+    scripted_site scripted;
+    for (const std::string status : {"200", "200 ", "200  two", "299 Own", "404", "599 Last"}) {
+        CAPTURE(status);
+        scripted.status = status;
+        scripted.answer_rest = sound_rest;
+        for (const std::size_t machine : {0U, 1U}) {
+            CAPTURE(machine);
+            const auto got = scripted.ask(machine);
+            CHECK(got.status == std::stoi(status));
+            CHECK(got.body == "body");
+        }
+    }
+}
