Refuse answers whose version is not HTTP/1.x

Callers saw: answers with HTTP/0.9, 2.0 or 9.9 as their version, or with other letters in place of TTP, arrived as HTTP/1.1 answers.

Cause: http_parser without its strict mode reads any letters behind the H and any digits as a version, and nobody asked further.

Change: response_check asks for HTTP/1. in the first bytes of the message; the parser itself allows one digit behind it. The cause in logs and metrics is bad_version. HTTP/1.0 and 1.2 to 1.9 still pass.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -42,6 +42,8 @@
     bad_status,
     /// The name of a field holds a byte that is no token character, for instance a space.
     bad_field_name,
+    /// The version of a response is not HTTP/1.x.
+    bad_version,
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -69,6 +69,8 @@
     bad_status,
     /// The name of a field holds a byte that is no token character, for instance a space.
     bad_field_name,
+    /// The version of a response is not HTTP/1.x.
+    bad_version,
 };
 
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -39,6 +39,8 @@
         return answer_fault::bad_status;
     case parse_failure::bad_field_name:
         return answer_fault::bad_field_name;
+    case parse_failure::bad_version:
+        return answer_fault::bad_version;
     }
     return answer_fault::malformed;
 }
--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -5,6 +5,7 @@
 namespace trefoil::http1 {
 namespace {
 
+constexpr std::string_view version_start = "HTTP/1.";
 constexpr std::size_t status_at = 9;
 constexpr std::size_t status_digits = 3;
 
@@ -33,6 +34,9 @@
 }
 
 std::optional<parse_failure> check_response(std::string_view line_start) {
+    if (!line_start.starts_with(version_start)) {
+        return parse_failure::bad_version;
+    }
     if (line_start.size() < status_line_start_bytes || !has_valid_status(line_start)) {
         return parse_failure::bad_status;
     }
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -65,3 +65,19 @@
     }
     CHECK(read_answers(chunked + "x-y: 1\r\n\r\n") == "200; [abc]; end; ");
 }
+
+TEST_CASE("an answer whose version is not HTTP/1.x is refused") {
+    const std::string rest = " 200 OK\r\nid: 1\r\nContent-Length: 3\r\n\r\nabc";
+    for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HXYZ/1.1", "HTTQ/1.1",
+                                      "HTTP/1.10", "HTTP/01.1", "HTTP/1", "http/1.1", "ICY"}) {
+        for (const std::size_t piece : {1000U, 7U, 1U}) {
+            CAPTURE(version);
+            CAPTURE(piece);
+            CHECK(read_answers(version + rest, true, piece) == "bad; ");
+        }
+    }
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1", "HTTP/1.2", "HTTP/1.9"}) {
+        CAPTURE(version);
+        CHECK(read_answers(version + rest) == "200; [abc]; end; ");
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -111,6 +111,12 @@
     }
 }
 
+TEST_CASE("an answer whose version is not HTTP/1.x never reaches a caller") {
+    for (const std::string version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HXYZ/1.1"}) {
+        check_never_arrives({.version = version});
+    }
+}
+
 TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
     two_machine_site site;
     site.targets[0].reset();
