Refuse answers with a control byte in their reason

Callers saw: a NUL, DEL or any other control byte in the reason of an answer arrived in their status line, which RFC 9112 4 doesn't allow.

Cause: http_parser reads any byte up to the line's end as part of the reason, and the proxy passes the reason on as it is.

Change: response_check looks at the reason; tabs, blanks and bytes from 0x80 on still pass. The cause in logs and metrics is bad_reason.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -44,6 +44,8 @@
     bad_field_name,
     /// The version of a response is not HTTP/1.x.
     bad_version,
+    /// The reason of a response holds a control byte.
+    bad_reason,
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -71,6 +71,8 @@
     bad_field_name,
     /// The version of a response is not HTTP/1.x.
     bad_version,
+    /// The reason of a response holds a control byte.
+    bad_reason,
 };
 
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -30,6 +30,8 @@
         return "bad_field_name";
     case answer_fault::bad_version:
         return "bad_version";
+    case answer_fault::bad_reason:
+        return "bad_reason";
     case answer_fault::endless:
         return "endless";
     case answer_fault::mixed:
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -41,6 +41,8 @@
         return answer_fault::bad_field_name;
     case parse_failure::bad_version:
         return answer_fault::bad_version;
+    case parse_failure::bad_reason:
+        return answer_fault::bad_reason;
     }
     return answer_fault::malformed;
 }
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -215,12 +215,6 @@
     /// make it stop.
     int complete_head() {
         store_header();
-        if constexpr (is_response) {
-            message_.failure = check_response(line_start_);
-            if (message_.failure) {
-                return -1;
-            }
-        }
         message_.has_head = true;
         message_.section_bytes = 0;
         // Protocol upgrades are not supported, so bytes after the message belong to the next one.
@@ -230,6 +224,10 @@
         const bool may_have_body = fill_(head, parser_, skips_body_);
         if constexpr (is_response) {
             head.reason = std::move(message_.first_line);
+            message_.failure = check_response(head, line_start_);
+            if (message_.failure) {
+                return -1;
+            }
         } else {
             head.target = std::move(message_.first_line);
         }
--- a/libs/http1/src/response_check.hpp
+++ b/libs/http1/src/response_check.hpp
@@ -18,6 +18,6 @@
 
 /// Returns why a response with this head is not valid; empty if it is. `line_start` holds the first
 /// status_line_start_bytes of the status line.
-std::optional<parse_failure> check_response(std::string_view line_start);
+std::optional<parse_failure> check_response(const response_head& head, std::string_view line_start);
 
 } // namespace trefoil::http1
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -165,6 +165,7 @@
          answer_fault::bad_field_name},
         {"HTTP/1.1 103 -\r\nx : 1\r\n\r\n" + ok_response("1", "a"), answer_fault::bad_field_name},
         {"HTTP/2.0 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_version},
+        {"HTTP/1.1 404 N\x01\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_reason},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -81,3 +81,20 @@
         CHECK(read_answers(version + rest) == "200; [abc]; end; ");
     }
 }
+
+TEST_CASE("an answer with a control byte in its reason is refused") {
+    const std::string rest = "K\r\nid: 1\r\nContent-Length: 3\r\n\r\nabc";
+    for (int code = 0; code < 256; ++code) {
+        const std::string byte(1, static_cast<char>(code));
+        if (byte == "\r" || byte == "\n") {
+            continue;
+        }
+        const bool is_allowed = byte == "\t" || (code >= 0x20 && code != 0x7f);
+        for (const std::size_t piece : {1000U, 1U}) {
+            CAPTURE(code);
+            CAPTURE(piece);
+            const auto read = read_answers("HTTP/1.1 404 N" + byte + rest, true, piece);
+            CHECK((read == "bad; ") == !is_allowed);
+        }
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -117,6 +117,13 @@
     }
 }
 
+TEST_CASE("an answer with a control byte in its reason never reaches a caller") {
+    for (const std::string reason : {"O\x01K", "O\x0bK", "O\x1bK", "OK\x7f"}) {
+        check_never_arrives({.status = "404 " + reason});
+    }
+    check_never_arrives({.status = std::string("200 O\0K", 7)});
+}
+
 TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
     two_machine_site site;
     site.targets[0].reset();
