Name faults of fields alike, however an answer is split into reads

Change: the fault is bad_field, for names and values, and what http_parser refuses in a field has it too. So control bytes in names, which were logged as malformed, are named as well.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -40,8 +40,9 @@
     truncated,
     /// The status is not three digits from 100 to 599.
     bad_status,
-    /// The name of a field holds a byte that is no token character, for instance a space.
-    bad_field_name,
+    /// A name of a field holds a byte that is no token character, for instance a space, or a value
+    /// holds a control byte.
+    bad_field,
     /// The version of a response is not HTTP/1.x.
     bad_version,
     /// The reason of a response holds a control byte.
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -26,8 +26,8 @@
         return "truncated";
     case answer_fault::bad_status:
         return "bad_status";
-    case answer_fault::bad_field_name:
-        return "bad_field_name";
+    case answer_fault::bad_field:
+        return "bad_field";
     case answer_fault::bad_version:
         return "bad_version";
     case answer_fault::bad_reason:
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -37,8 +37,8 @@
         return answer_fault::truncated;
     case parse_failure::bad_status:
         return answer_fault::bad_status;
-    case parse_failure::bad_field_name:
-        return answer_fault::bad_field_name;
+    case parse_failure::bad_field:
+        return answer_fault::bad_field;
     case parse_failure::bad_version:
         return answer_fault::bad_version;
     case parse_failure::bad_reason:
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -141,7 +141,12 @@
         has_failed_ = true;
         events.push_back(message_.section_bytes > max_head_bytes_
                              ? parse_failure::head_too_large
-                             : message_.failure.value_or(parse_failure::malformed));
+                             : message_.failure.value_or(failure_found_by_parser()));
+    }
+
+    parse_failure failure_found_by_parser() const {
+        return HTTP_PARSER_ERRNO(&parser_) == HPE_INVALID_HEADER_TOKEN ? parse_failure::bad_field
+                                                                       : parse_failure::malformed;
     }
 
     int begin() {
@@ -169,7 +174,7 @@
         const auto valid_length = token_length(part);
         if (valid_length < part.size()) {
             count(valid_length);
-            message_.failure = parse_failure::bad_field_name;
+            message_.failure = parse_failure::bad_field;
             return 1;
         }
         if (message_.has_head) {
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -161,11 +161,12 @@
     const std::vector<invalid_case> cases = {
         {"HTTP/1.1 000 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_status},
         {"HTTP/1.1 600 -\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_status},
-        {"HTTP/1.1 200 OK\r\nid: 1\r\nx : 1\r\nContent-Length: 0\r\n\r\n",
-         answer_fault::bad_field_name},
-        {"HTTP/1.1 103 -\r\nx : 1\r\n\r\n" + ok_response("1", "a"), answer_fault::bad_field_name},
+        {"HTTP/1.1 200 OK\r\nid: 1\r\nx : 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_field},
+        {"HTTP/1.1 103 -\r\nx : 1\r\n\r\n" + ok_response("1", "a"), answer_fault::bad_field},
         {"HTTP/2.0 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_version},
         {"HTTP/1.1 404 N\x01\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_reason},
+        {"HTTP/1.1 200 OK\r\nid: 1\r\nx\x01: 1\r\nContent-Length: 0\r\n\r\n",
+         answer_fault::bad_field},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -74,7 +74,7 @@
     check_never_arrives({.status = "103 Early Hints\r\n\r\nHTTP/1.1 000 OK"});
 }
 
-TEST_CASE("an answer with an invalid name of a field never reaches a caller") {
+TEST_CASE("an answer with an invalid field never reaches a caller") {
     for (const std::string name : {"info ", "info  ", "in fo", "info\t", "in\x01fo", "\x7finfo",
                                    "in\nfo", "in\rfo", "\"info\"", "\x80info", "in/fo"}) {
         check_never_arrives({.rest = name + ": 1\r\n" + sound_rest});
