Refuse answers with a control byte at the start of a field's value

Callers saw: a line whose value began with a control byte, NUL and DEL among them, arrived in the head of their answer. Behind the first byte of a value such bytes were refused already.

Cause: http_parser looks at the bytes of a value only behind the first one of each line of it, and not at all in trailer sections.

Change: values are checked where the parser gets them, for heads and trailer sections, of requests too. Tabs, blanks and bytes from 0x80 on still pass, in folded values too.

--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -171,11 +171,8 @@
     /// Appends to the name of a header field, and stores the previous field if it is complete. The
     /// fields of a trailer section are discarded (RFC 9110 6.5.1).
     int add_name(std::string_view part) {
-        const auto valid_length = token_length(part);
-        if (valid_length < part.size()) {
-            count(valid_length);
-            message_.failure = parse_failure::bad_field;
-            return 1;
+        if (const auto valid_length = token_length(part); valid_length < part.size()) {
+            return refuse_field(valid_length);
         }
         if (message_.has_head) {
             return count(part.size());
@@ -185,6 +182,9 @@
     }
 
     int add_value(std::string_view part) {
+        if (const auto valid_length = text_length(part); valid_length < part.size()) {
+            return refuse_field(valid_length);
+        }
         if (message_.has_head) {
             return count(part.size());
         }
@@ -192,6 +192,13 @@
         return append(message_.value, part.data(), part.size());
     }
 
+    /// Makes http_parser stop at a byte that a field can't have, behind this number of valid ones.
+    int refuse_field(std::size_t valid_length) {
+        count(valid_length);
+        message_.failure = parse_failure::bad_field;
+        return 1;
+    }
+
     /// Stores the field that has been read, if any.
     void store_header() {
         if (!message_.is_in_value) {
--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -26,7 +26,6 @@
     return is_digit || is_letter || marks.find(c) != std::string_view::npos;
 }
 
-/// True for a byte that a reason can't have (RFC 9112 4).
 bool is_control(unsigned char c) {
     constexpr unsigned char del = 0x7f;
     return c == del || (c < ' ' && c != '\t');
@@ -39,6 +38,11 @@
     return static_cast<std::size_t>(end - text.begin());
 }
 
+std::size_t text_length(std::string_view text) {
+    const auto* end = std::find_if(text.begin(), text.end(), is_control);
+    return static_cast<std::size_t>(end - text.begin());
+}
+
 std::optional<parse_failure> check_response(const response_head& head,
                                             std::string_view line_start) {
     if (!line_start.starts_with(version_start)) {
@@ -47,7 +51,7 @@
     if (line_start.size() < status_line_start_bytes || !has_valid_status(line_start)) {
         return parse_failure::bad_status;
     }
-    if (std::any_of(head.reason.begin(), head.reason.end(), is_control)) {
+    if (text_length(head.reason) < head.reason.size()) {
         return parse_failure::bad_reason;
     }
     return std::nullopt;
--- a/libs/http1/src/response_check.hpp
+++ b/libs/http1/src/response_check.hpp
@@ -16,6 +16,10 @@
 /// characters, which the name of a field is made of (RFC 9110 5.6.2).
 std::size_t token_length(std::string_view text);
 
+/// Returns the length of the longest part at the start of the text without a control byte other
+/// than a tab. The value of a field and a reason have none (RFC 9110 5.5, RFC 9112 4).
+std::size_t text_length(std::string_view text);
+
 /// Returns why a response with this head is not valid; empty if it is. `line_start` holds the first
 /// status_line_start_bytes of the status line.
 std::optional<parse_failure> check_response(const response_head& head, std::string_view line_start);
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -167,6 +167,8 @@
         {"HTTP/1.1 404 N\x01\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_reason},
         {"HTTP/1.1 200 OK\r\nid: 1\r\nx\x01: 1\r\nContent-Length: 0\r\n\r\n",
          answer_fault::bad_field},
+        {"HTTP/1.1 200 OK\r\nid: 1\r\nx: \x01\r\nContent-Length: 0\r\n\r\n",
+         answer_fault::bad_field},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -98,3 +98,28 @@
         }
     }
 }
+
+TEST_CASE("an answer with a control byte in the value of a field is refused") {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+    for (int code = 0; code < 256; ++code) {
+        const std::string byte(1, static_cast<char>(code));
+        if (byte == "\r" || byte == "\n") {
+            continue;
+        }
+        const bool is_allowed = byte == "\t" || (code >= 0x20 && code != 0x7f);
+        for (const std::string& field :
+             {"x:" + byte, "x: " + byte, "x: " + byte + "b", "x: a" + byte, "x: a" + byte + "b",
+              "x: a\r\n " + byte + "b", "x:\r\n " + byte}) {
+            for (const std::size_t piece : {1000U, 1U}) {
+                CAPTURE(field);
+                CAPTURE(piece);
+                const auto head = "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 3\r\n\r\n";
+                CHECK(read_answers(head + "abc", true, piece).ends_with("end; ") == is_allowed);
+                const auto trailer = field + "\r\n\r\n";
+                CHECK(read_answers(chunked + trailer, true, piece).ends_with("end; ") ==
+                      is_allowed);
+            }
+        }
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -89,6 +89,13 @@
     check_never_arrives({.rest = "info : 1\r\ncontent-length: 4\r\n\r\n"}, "HEAD");
 }
 
+TEST_CASE("an answer with a control byte at the start of a field's value never reaches a caller") {
+    for (const std::string value : {"\x01", "\x01info", "\x7finfo", "\x0binfo", "\r\n \x01info"}) {
+        check_never_arrives({.rest = "info: " + value + "\r\n" + sound_rest});
+    }
+    check_never_arrives({.rest = std::string("info: \0info\r\n", 13) + sound_rest});
+}
+
 TEST_CASE("an answer with unusual but valid fields arrives") {
     scripted_site scripted;
     scripted.answer_rest =
