Refuse answers with a CR in their head that no LF follows

Callers saw: of an answer with a CR within its reason ("404 Not\rFound") they got the head up to there and the rest of it as their body; where the empty line behind the head was a CR and any byte, that byte was taken for the LF and the body was the worker's without its first byte, or with a shift.

Cause: http_parser without its strict mode skips the byte behind a CR at the end of the first line and of the head without looking at it, and tells nobody where it did.

Change: section_lines reads a head beside http_parser, up to its empty line, and finds the first byte that should be an LF; what stands in front of it is parsed, so that the fault is the same however the bytes are split. It also keeps the first 13 bytes for the check of the status line. An LF alone still ends a line. Heads of requests are read so too. The cause in logs and metrics is bad_line_end.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -47,6 +47,8 @@
     bad_version,
     /// The reason of a response holds a control byte.
     bad_reason,
+    /// A CR in the head, or where a line of the framing ends, is not followed by an LF.
+    bad_line_end,
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -74,6 +74,8 @@
     bad_version,
     /// The reason of a response holds a control byte.
     bad_reason,
+    /// A CR in the head, or where a line of the framing ends, is not followed by an LF.
+    bad_line_end,
 };
 
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -43,6 +43,8 @@
         return answer_fault::bad_version;
     case parse_failure::bad_reason:
         return answer_fault::bad_reason;
+    case parse_failure::bad_line_end:
+        return answer_fault::bad_line_end;
     }
     return answer_fault::malformed;
 }
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -14,6 +14,7 @@
 #include <trefoil/http1/message.hpp>
 
 #include "response_check.hpp"
+#include "section_lines.hpp"
 
 namespace trefoil::http1 {
 
@@ -105,38 +106,39 @@
     /// Parses up to the end of a message, where complete_message() pauses the parser, or all of
     /// the bytes. Returns the number of bytes parsed.
     std::size_t feed_up_to_message_end(std::string_view bytes) {
-        keep_line_start(bytes);
-        const auto parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+        const auto valid = bytes.substr(0, lines_.read(bytes));
+        const auto parsed = execute(valid);
         if (resume_after_message()) {
             auto& end = std::get<message_end>(events_->back());
             end.is_followed = parsed < bytes.size();
             end.next_bytes = bytes.substr(parsed, max_next_bytes);
-        } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parsed != bytes.size()) {
+        } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parsed != valid.size()) {
+            fail(*events_);
+        } else if (valid.size() < bytes.size()) {
+            message_.failure = parse_failure::bad_line_end;
             fail(*events_);
         }
         return parsed;
     }
 
+    /// Returns the number of bytes parsed. No bytes would mean the end of the connection.
+    std::size_t execute(std::string_view bytes) {
+        return bytes.empty()
+                   ? 0
+                   : http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+    }
+
     /// Resets the parser for the next message if complete_message() has paused it. Returns false if
     /// it was not paused.
     bool resume_after_message() {
         const bool is_paused = HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
         if (is_paused) {
             http_parser_init(&parser_, type_);
-            line_start_.clear();
+            lines_.expect_head();
         }
         return is_paused;
     }
 
-    /// Keeps the first bytes of a message, of which http_parser tells only what it makes of them.
-    /// It skips the line ends in front of a message.
-    void keep_line_start(std::string_view bytes) {
-        if (line_start_.empty()) {
-            bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
-        }
-        line_start_.append(bytes.substr(0, status_line_start_bytes - line_start_.size()));
-    }
-
     void fail(std::vector<Event>& events) {
         has_failed_ = true;
         events.push_back(message_.section_bytes > max_head_bytes_
@@ -236,7 +238,7 @@
         const bool may_have_body = fill_(head, parser_, skips_body_);
         if constexpr (is_response) {
             head.reason = std::move(message_.first_line);
-            message_.failure = check_response(head, line_start_);
+            message_.failure = check_response(head, lines_.start());
             if (message_.failure) {
                 return -1;
             }
@@ -262,8 +264,7 @@
     head_filler fill_;
     std::vector<Event>* events_ = nullptr;
     message_state message_;
-    /// The first bytes of the message, at most status_line_start_bytes.
-    std::string line_start_;
+    section_lines lines_;
     /// Set after a parse error. Further input is ignored.
     bool has_failed_ = false;
     /// Set until the next final response, which has no body.
--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "section_lines.hpp"
+
 namespace trefoil::http1 {
 namespace {
 
@@ -48,7 +50,7 @@
     if (!line_start.starts_with(version_start)) {
         return parse_failure::bad_version;
     }
-    if (line_start.size() < status_line_start_bytes || !has_valid_status(line_start)) {
+    if (line_start.size() < section_lines::max_start_bytes || !has_valid_status(line_start)) {
         return parse_failure::bad_status;
     }
     if (text_length(head.reason) < head.reason.size()) {
--- a/libs/http1/src/response_check.hpp
+++ b/libs/http1/src/response_check.hpp
@@ -8,10 +8,6 @@
 
 namespace trefoil::http1 {
 
-/// Number of bytes of a status line up to the byte behind the status: `HTTP/1.1 200` and a space or
-/// the end of the line.
-inline constexpr std::size_t status_line_start_bytes = 13;
-
 /// Returns the length of the longest part at the start of the text that consists of token
 /// characters, which the name of a field is made of (RFC 9110 5.6.2).
 std::size_t token_length(std::string_view text);
@@ -20,8 +16,8 @@
 /// than a tab. The value of a field and a reason have none (RFC 9110 5.5, RFC 9112 4).
 std::size_t text_length(std::string_view text);
 
-/// Returns why a response with this head is not valid; empty if it is. `line_start` holds the first
-/// status_line_start_bytes of the status line.
+/// Returns why a response with this head is not valid; empty if it is. `line_start` holds the
+/// first section_lines::max_start_bytes of the status line.
 std::optional<parse_failure> check_response(const response_head& head, std::string_view line_start);
 
 } // namespace trefoil::http1
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -169,6 +169,7 @@
          answer_fault::bad_field},
         {"HTTP/1.1 200 OK\r\nid: 1\r\nx: \x01\r\nContent-Length: 0\r\n\r\n",
          answer_fault::bad_field},
+        {"HTTP/1.1 404 N\rF\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_line_end},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -123,3 +123,25 @@
         }
     }
 }
+
+TEST_CASE("an answer with a CR in its head that no LF follows is refused") {
+    const std::string fields = "id: 1\r\nContent-Length: 3\r\n";
+    for (const std::string& bytes :
+         {"HTTP/1.1 200 O\rK\r\n" + fields + "\r\nabc", "HTTP/1.1 404\rX\r\n" + fields + "\r\nabc",
+          "HTTP/1.1 200 OK\r\r\n" + fields + "\r\nabc", "HTTP/1.1 200 OK\r\n\rx: 1\r\n" + fields,
+          "HTTP/1.1 200 OK\r\n" + fields + "\rXabc", "HTTP/1.1 200 OK\r\n" + fields + "\r\r\nabc",
+          "HTTP/1.1 200 OK\r\nx:\rY: 2\r\n" + fields + "\r\nabc",
+          "HTTP/1.1 200 OK\r\nx: 1\rY: 2\r\n" + fields + "\r\nabc",
+          "HTTP/1.1 200 OK\r\nx\r: 1\r\n" + fields + "\r\nabc",
+          "HTTP/1.1 103 -\r\n\rXHTTP/1.1 200 OK\r\n" + fields + "\r\nabc"}) {
+        for (const std::size_t piece : {1000U, 7U, 1U}) {
+            CAPTURE(bytes);
+            CAPTURE(piece);
+            CHECK(read_answers(bytes, true, piece) == "bad; ");
+        }
+    }
+    for (const std::size_t piece : {1000U, 1U}) {
+        CHECK(read_answers("HTTP/1.1 200 OK\nid: 1\nContent-Length: 3\n\n\ra\r", true, piece)
+                  .ends_with("end; "));
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -131,6 +131,15 @@
     check_never_arrives({.status = std::string("200 O\0K", 7)});
 }
 
+TEST_CASE("an answer with a CR in its head that no LF follows never reaches a caller") {
+    check_never_arrives({.status = "200 O\rK"});
+    check_never_arrives({.status = "404 Not\rFound"});
+    check_never_arrives({.status = "404\rX"});
+    check_never_arrives({.rest = "content-length: 4\r\n\rbody"});
+    check_never_arrives({.rest = "\rinfo: 1\r\n" + sound_rest});
+    check_never_arrives({.status = "103 Early Hints\r\n\rXHTTP/1.1 200 OK"});
+}
+
 TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
     two_machine_site site;
     site.targets[0].reset();
