Refuse answers with a transfer coding that is not decoded

Callers saw: the body of an answer with Transfer-Encoding: gzip, or any other coding, arrived as it was on the wire, chunk sizes included, or half decoded ("gzip, chunked"), as the worker's body and without the field that says so.

Cause: http_parser looks for chunked alone, reads all else up to the end of the connection, and the proxy drops Transfer-Encoding as a hop-by-hop field.

Change: response_check accepts one field with the coding chunked, in any case of letters, where a body follows. Responses without a body (HEAD, 1xx, 204, 304) are as before. The cause in logs and metrics is bad_coding.

--- a/libs/http1/include/trefoil/http1/client.hpp
+++ b/libs/http1/include/trefoil/http1/client.hpp
@@ -49,6 +49,8 @@
     bad_reason,
     /// A CR in the head, or where a line of the framing ends, is not followed by an LF.
     bad_line_end,
+    /// The body of a response has a transfer coding other than chunked.
+    bad_coding,
     /// The response did not begin within 1 MiB of interim responses and responses to earlier
     /// requests.
     endless,
--- a/libs/http1/include/trefoil/http1/message.hpp
+++ b/libs/http1/include/trefoil/http1/message.hpp
@@ -76,6 +76,8 @@
     bad_reason,
     /// A CR in the head, or where a line of the framing ends, is not followed by an LF.
     bad_line_end,
+    /// The body of a response has a transfer coding other than chunked.
+    bad_coding,
 };
 
 using request_event = std::variant<request_head, body_piece, message_end, parse_failure>;
--- a/libs/http1/src/client.cpp
+++ b/libs/http1/src/client.cpp
@@ -34,6 +34,8 @@
         return "bad_reason";
     case answer_fault::bad_line_end:
         return "bad_line_end";
+    case answer_fault::bad_coding:
+        return "bad_coding";
     case answer_fault::endless:
         return "endless";
     case answer_fault::mixed:
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -45,6 +45,8 @@
         return answer_fault::bad_reason;
     case parse_failure::bad_line_end:
         return answer_fault::bad_line_end;
+    case parse_failure::bad_coding:
+        return answer_fault::bad_coding;
     }
     return answer_fault::malformed;
 }
--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -1,6 +1,9 @@
 #include "response_check.hpp"
 
 #include <algorithm>
+#include <cctype>
+
+#include <trefoil/http1/header_rules.hpp>
 
 #include "section_lines.hpp"
 
@@ -33,6 +36,31 @@
     return c == del || (c < ' ' && c != '\t');
 }
 
+bool has_body(const response_head& head) {
+    return !head.omits_body && !has_no_body(head.status);
+}
+
+/// True for `chunked` in upper or lower case.
+bool is_chunked(std::string_view coding) {
+    constexpr std::string_view chunked = "chunked";
+    return std::equal(coding.begin(), coding.end(), chunked.begin(), chunked.end(),
+                      [](unsigned char c, char expected) { return std::tolower(c) == expected; });
+}
+
+/// True if the body of the response has a transfer coding that is not decoded here: any but chunked
+/// alone (RFC 9112 6.1). The value of the field may have blanks behind it.
+bool has_unknown_coding(const response_head& head) {
+    constexpr std::string_view name = "transfer-encoding";
+    const auto has_name = [](const http_header& field) { return field.name == name; };
+    const auto count = std::count_if(head.headers.begin(), head.headers.end(), has_name);
+    if (count == 0 || !has_body(head)) {
+        return false;
+    }
+    auto coding = find_header(head.headers, name);
+    coding = coding.substr(0, coding.find_last_not_of(" \t") + 1);
+    return count > 1 || head.framing != body_framing::chunked || !is_chunked(coding);
+}
+
 } // namespace
 
 std::size_t token_length(std::string_view text) {
@@ -56,6 +84,9 @@
     if (text_length(head.reason) < head.reason.size()) {
         return parse_failure::bad_reason;
     }
+    if (has_unknown_coding(head)) {
+        return parse_failure::bad_coding;
+    }
     return std::nullopt;
 }
 
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -170,6 +170,8 @@
         {"HTTP/1.1 200 OK\r\nid: 1\r\nx: \x01\r\nContent-Length: 0\r\n\r\n",
          answer_fault::bad_field},
         {"HTTP/1.1 404 N\rF\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_line_end},
+        {"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         answer_fault::bad_coding},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -145,3 +145,23 @@
                   .ends_with("end; "));
     }
 }
+
+TEST_CASE("an answer with a transfer coding other than chunked is refused") {
+    const std::string head = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: ";
+    const std::string body = "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity",
+          "identity, chunked", "", "chunked;q=1", "xchunked", "chunkedx", "\"chunked\"",
+          "chunked\r\nTransfer-Encoding: chunked", "gzip\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: gzip", "chunked\r\n gzip", "gzip\r\n chunked"}) {
+        for (const std::size_t piece : {1000U, 7U, 1U}) {
+            CAPTURE(coding);
+            CAPTURE(piece);
+            CHECK(read_answers(head + coding + body, true, piece) == "bad; ");
+        }
+    }
+    for (const std::string coding : {"chunked", "Chunked", "\r\n chunked", " \tchunked "}) {
+        CAPTURE(coding);
+        CHECK(read_answers(head + coding + body, true) == "200; [abc]; end; ");
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -140,6 +140,14 @@
     check_never_arrives({.status = "103 Early Hints\r\n\rXHTTP/1.1 200 OK"});
 }
 
+TEST_CASE("an answer with a transfer coding other than chunked never reaches a caller") {
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity",
+                                     "deflate", "chunked\r\ntransfer-encoding: chunked"}) {
+        check_never_arrives(
+            {.rest = "transfer-encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"});
+    }
+}
+
 TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
     two_machine_site site;
     site.targets[0].reset();
