Refuse answers whose chunks don't end with their lines

Callers saw: an answer whose chunk was longer than its size said arrived without the bytes between, as a 200 with a shortened body, if two bytes stood there in place of the line's end; any byte behind a CR of the framing was taken for its LF, at the end of the answer too.

Cause: http_parser without its strict mode skips the byte behind a CR in a chunk's line and the two bytes behind a chunk's data without looking at them.

Change: the parser is paused behind each line and each chunk of the framing, where the last two bytes have to be CR and LF, and section_lines reads the trailer section as it reads a head. An answer that has been passed on in part is cut off, others end as a 502. Bodies of requests are read so too. The cause is bad_line_end.

--- a/libs/http1/src/embedded_response.cpp
+++ b/libs/http1/src/embedded_response.cpp
@@ -80,7 +80,7 @@
         return false;
     }
     const auto spanning = find_status_line(tail_ + std::string(next_bytes));
-    // The parser skips two bytes behind a chunk without reading them.
+    // The rest of the status line may not have been read yet.
     const auto version_at = tail_.rfind(version);
     const bool ends_in_version =
         version_at != std::string::npos && tail_.size() - version_at <= version.size() + 2;
--- a/libs/http1/src/parser_core.hpp
+++ b/libs/http1/src/parser_core.hpp
@@ -47,6 +47,8 @@
             self(p).events_->push_back(body_piece{std::string(at, length)});
             return 0;
         };
+        settings_.on_chunk_header = [](http_parser* p) { return self(p).end_chunk_line(); };
+        settings_.on_chunk_complete = [](http_parser* p) { return self(p).end_chunk(); };
         settings_.on_message_complete = [](http_parser* p) { return self(p).complete_message(); };
     }
 
@@ -56,7 +58,7 @@
         }
         events_ = &events;
         while (!bytes.empty() && !has_failed_) {
-            bytes.remove_prefix(feed_up_to_message_end(bytes));
+            bytes.remove_prefix(feed_up_to_pause(bytes));
         }
         events_ = nullptr;
     }
@@ -103,12 +105,17 @@
         return *static_cast<parser_core*>(parser->data);
     }
 
-    /// Parses up to the end of a message, where complete_message() pauses the parser, or all of
-    /// the bytes. Returns the number of bytes parsed.
-    std::size_t feed_up_to_message_end(std::string_view bytes) {
+    /// Parses up to the next pause, or all of the bytes. Returns the number of bytes parsed.
+    std::size_t feed_up_to_pause(std::string_view bytes) {
         const auto valid = bytes.substr(0, lines_.read(bytes));
         const auto parsed = execute(valid);
-        if (resume_after_message()) {
+        keep_last(bytes.substr(0, parsed));
+        if (resume_after_chunk_line()) {
+            if (last_bytes_ != "\r\n") {
+                message_.failure = parse_failure::bad_line_end;
+                fail(*events_);
+            }
+        } else if (resume_after_message()) {
             auto& end = std::get<message_end>(events_->back());
             end.is_followed = parsed < bytes.size();
             end.next_bytes = bytes.substr(parsed, max_next_bytes);
@@ -128,6 +135,23 @@
                    : http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
     }
 
+    /// Keeps the last two bytes that were parsed.
+    void keep_last(std::string_view parsed) {
+        constexpr std::size_t kept_bytes = 2;
+        last_bytes_.append(parsed.substr(parsed.size() - std::min(parsed.size(), kept_bytes)));
+        last_bytes_.erase(0, last_bytes_.size() - std::min(last_bytes_.size(), kept_bytes));
+    }
+
+    /// Lets the parser go on if it has been paused behind a line of the framing. Returns false if
+    /// it was not.
+    bool resume_after_chunk_line() {
+        const bool is_paused = std::exchange(is_at_chunk_line_end_, false);
+        if (is_paused) {
+            http_parser_pause(&parser_, 0);
+        }
+        return is_paused;
+    }
+
     /// Resets the parser for the next message if complete_message() has paused it. Returns false if
     /// it was not paused.
     bool resume_after_message() {
@@ -250,6 +274,25 @@
         return may_have_body ? 0 : 1;
     }
 
+    /// Pauses the parser behind the line with the size of a chunk, since http_parser skips the byte
+    /// behind its CR without looking at it. Behind the last one, the trailer section follows.
+    int end_chunk_line() {
+        if (parser_.content_length == 0) {
+            lines_.expect_trailers();
+        }
+        return pause_at_chunk_line_end();
+    }
+
+    /// Pauses the parser behind the data of a chunk, since http_parser skips two bytes there
+    /// without looking at them. The last chunk has no data.
+    int end_chunk() { return (parser_.flags & F_TRAILING) != 0 ? 0 : pause_at_chunk_line_end(); }
+
+    int pause_at_chunk_line_end() {
+        is_at_chunk_line_end_ = true;
+        http_parser_pause(&parser_, 1);
+        return 0;
+    }
+
     int complete_message() {
         message_ = {};
         events_->push_back(message_end{http_should_keep_alive(&parser_) != 0});
@@ -265,6 +308,10 @@
     std::vector<Event>* events_ = nullptr;
     message_state message_;
     section_lines lines_;
+    /// The last two bytes that were parsed.
+    std::string last_bytes_;
+    /// Set while the parser is paused behind a line of the framing of a chunked body.
+    bool is_at_chunk_line_end_ = false;
     /// Set after a parse error. Further input is ignored.
     bool has_failed_ = false;
     /// Set until the next final response, which has no body.
--- a/libs/http1/src/section_lines.cpp
+++ b/libs/http1/src/section_lines.cpp
@@ -11,6 +11,11 @@
     start_.clear();
 }
 
+void section_lines::expect_trailers() {
+    expect_head();
+    position_ = position::within;
+}
+
 std::size_t section_lines::read(std::string_view bytes) {
     std::size_t at = 0;
     if (position_ == position::before) {
--- a/libs/http1/src/section_lines.hpp
+++ b/libs/http1/src/section_lines.hpp
@@ -18,6 +18,8 @@
 
     /// Expects a head. The line ends that may stand before it are skipped.
     void expect_head();
+    /// Expects a trailer section, which may be an empty line alone.
+    void expect_trailers();
 
     /// Reads up to the empty line that ends the section, and nothing behind it. Returns the number
     /// of bytes in front of the first one that should be an LF and is none, or bytes.size().
--- a/libs/http1/tests/client_connection_test.cpp
+++ b/libs/http1/tests/client_connection_test.cpp
@@ -157,6 +157,8 @@
     struct invalid_case {
         std::string answer;
         answer_fault fault;
+        /// Status that the client has reported before the failure.
+        int status = 0;
     };
     const std::vector<invalid_case> cases = {
         {"HTTP/1.1 000 OK\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_status},
@@ -172,6 +174,8 @@
         {"HTTP/1.1 404 N\rF\r\nid: 1\r\nContent-Length: 0\r\n\r\n", answer_fault::bad_line_end},
         {"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
          answer_fault::bad_coding},
+        {"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n",
+         answer_fault::bad_line_end, 200},
     };
     for (const auto& one : cases) {
         for (const auto* id : {"1", ""}) {
@@ -185,7 +189,7 @@
             REQUIRE(event_loop.run_until([&] { return record.is_finished(); }));
             CHECK(record.has_failed);
             CHECK(record.failure == exchange_failure::bad_answer);
-            CHECK(record.status == 0);
+            CHECK(record.status == one.status);
             CHECK(record.handle->use().fault == one.fault);
             CHECK(event_loop.run_until([&] { return target.closed_connections == 1; }));
         }
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -165,3 +165,31 @@
         CHECK(read_answers(head + coding + body, true) == "200; [abc]; end; ");
     }
 }
+
+TEST_CASE("an answer whose chunks don't end with their lines is refused") {
+    const std::string head = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body :
+         {"3\r\nabcXX0\r\n\r\n", "3\r\nabc\nX0\r\n\r\n", "3\r\nabc\rX0\r\n\r\n",
+          "3\r\nabcde\r\n0\r\n\r\n", "3\r\nabcd\r\n0\r\n\r\n", "3\r\nab\r\n0\r\n\r\n",
+          "3\rXabc\r\n0\r\n\r\n", "3\nabc\r\n0\r\n\r\n", "3;x\rXabc\r\n0\r\n\r\n",
+          "3\r\nabc\r\n0\rX\r\n", "3\r\nabc\r\n0\r\n\rX", "3\r\nabc\r\n0\r\nx:\rY\r\n\r\n",
+          "3\r\nabc\r\n0\r\nx: y\r\n\rX", "3\r\nabc\n\n0\r\n\r\n"}) {
+        for (const std::size_t piece : {1000U, 7U, 3U, 1U}) {
+            CAPTURE(body);
+            CAPTURE(piece);
+            const auto read = read_answers(head + body, true, piece);
+            CHECK(read.starts_with("200; "));
+            CHECK(read.ends_with("bad; "));
+            CHECK(read.find("end") == std::string::npos);
+        }
+    }
+    for (const std::string body :
+         {"3\r\nabc\r\n0\r\n\r\n", "3;x=y\r\n\r\r\n\r\n0\r\n\r\n", "3\r\nabc\r\n00\r\nx: y\r\n\r\n",
+          "1\r\na\r\n2\r\nbc\r\n0\r\nx: y\r\n z\r\n\r\n"}) {
+        for (const std::size_t piece : {1000U, 7U, 3U, 1U}) {
+            CAPTURE(body);
+            CAPTURE(piece);
+            CHECK(read_answers(head + body, true, piece).ends_with("; end; "));
+        }
+    }
+}
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -148,6 +148,14 @@
     }
 }
 
+TEST_CASE("an answer whose chunks don't end with their lines never reaches a caller") {
+    for (const std::string body :
+         {"4\r\nbodyXX0\r\n\r\n", "4\r\nbody\nX0\r\n\r\n", "2\r\nbody0\r\n\r\n",
+          "4\rXbody\r\n0\r\n\r\n", "4\r\nbody\r\n0\rX\r\n", "4\r\nbody\r\n0\r\n\rX"}) {
+        check_never_arrives({.rest = "transfer-encoding: chunked\r\n\r\n" + body});
+    }
+}
+
 TEST_CASE("a request is sent again after an invalid answer only if it may be repeated") {
     two_machine_site site;
     site.targets[0].reset();
