--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -50,7 +50,7 @@
 /// True if the body of the response has a transfer coding that is not decoded here: any but chunked
 /// alone (RFC 9112 6.1). The value of the field may have blanks behind it.
 bool has_unknown_coding(const response_head& head) {
-    constexpr std::string_view name = "transfer-encoding";
+    static constexpr std::string_view name = "transfer-encoding";
     const auto has_name = [](const http_header& field) { return field.name == name; };
     const auto count = std::count_if(head.headers.begin(), head.headers.end(), has_name);
     if (count == 0 || !has_body(head)) {
--- a/libs/http1/tests/invalid_answer_test.cpp
+++ b/libs/http1/tests/invalid_answer_test.cpp
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include <fmt/format.h>
+
 #include "read_answers.hpp"
 
 using namespace trefoil;
@@ -56,8 +58,8 @@
         for (const std::size_t piece : {1000U, 7U, 1U}) {
             CAPTURE(name);
             CAPTURE(piece);
-            CHECK(read_answers("HTTP/1.1 103 -\r\n" + name + ": 1\r\n\r\n" + answer, true, piece) ==
-                  "bad; ");
+            CHECK(read_answers(fmt::format("HTTP/1.1 103 -\r\n{}: 1\r\n\r\n{}", name, answer), true,
+                               piece) == "bad; ");
             const auto read = read_answers(chunked + name + ": 1\r\n\r\n", true, piece);
             CHECK(read.starts_with("200; "));
             CHECK(read.ends_with("bad; "));
@@ -93,7 +95,8 @@
         for (const std::size_t piece : {1000U, 1U}) {
             CAPTURE(code);
             CAPTURE(piece);
-            const auto read = read_answers("HTTP/1.1 404 N" + byte + rest, true, piece);
+            const auto read =
+                read_answers(fmt::format("HTTP/1.1 404 N{}{}", byte, rest), true, piece);
             CHECK((read == "bad; ") == !is_allowed);
         }
     }
@@ -157,12 +160,12 @@
         for (const std::size_t piece : {1000U, 7U, 1U}) {
             CAPTURE(coding);
             CAPTURE(piece);
-            CHECK(read_answers(head + coding + body, true, piece) == "bad; ");
+            CHECK(read_answers(fmt::format("{}{}{}", head, coding, body), true, piece) == "bad; ");
         }
     }
     for (const std::string coding : {"chunked", "Chunked", "\r\n chunked", " \tchunked "}) {
         CAPTURE(coding);
-        CHECK(read_answers(head + coding + body, true) == "200; [abc]; end; ");
+        CHECK(read_answers(fmt::format("{}{}{}", head, coding, body), true) == "200; [abc]; end; ");
     }
 }
 
--- a/libs/proxy/tests/broken_answer_test.cpp
+++ b/libs/proxy/tests/broken_answer_test.cpp
@@ -2,8 +2,11 @@
 // 502 and nothing of them.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
 #include <string>
-#include <vector>
+
+#include <fmt/format.h>
 
 #include "scripted_site.hpp"
 
@@ -77,8 +80,8 @@
 TEST_CASE("an answer with an invalid field never reaches a caller") {
     for (const std::string name : {"info ", "info  ", "in fo", "info\t", "in\x01fo", "\x7finfo",
                                    "in\nfo", "in\rfo", "\"info\"", "\x80info", "in/fo"}) {
-        check_never_arrives({.rest = name + ": 1\r\n" + sound_rest});
-        check_never_arrives({.rest = "content-length: 4\r\n" + name + ": 1\r\n\r\nbody"});
+        check_never_arrives({.rest = fmt::format("{}: 1\r\n{}", name, sound_rest)});
+        check_never_arrives({.rest = fmt::format("content-length: 4\r\n{}: 1\r\n\r\nbody", name)});
     }
     check_never_arrives({.rest = std::string("in\0fo: 1\r\n", 10) + sound_rest});
     for (const std::string framing : {"content-length : 2\r\n\r\nbody",
@@ -91,7 +94,7 @@
 
 TEST_CASE("an answer with a control byte at the start of a field's value never reaches a caller") {
     for (const std::string value : {"\x01", "\x01info", "\x7finfo", "\x0binfo", "\r\n \x01info"}) {
-        check_never_arrives({.rest = "info: " + value + "\r\n" + sound_rest});
+        check_never_arrives({.rest = fmt::format("info: {}\r\n{}", value, sound_rest)});
     }
     check_never_arrives({.rest = std::string("info: \0info\r\n", 13) + sound_rest});
 }
