Read the answers of trefoil-node with the parser of the proxy

What was seen: libs/http, the client of trefoil-node and of the tools, took answers with the statuses 000, 099, 600, 999 and 101 as answers. An answer with "Transfer-Encoding: gzip, chunked" ended the whole process by an assertion of h2o (http1client.c:216), and the requests of all its callers with it.

Cause: a second parser, h2o's, with gaps of its own, and a library that takes an unknown coding for an error of its caller.

Change: the client is written over http1::client, so that one parser and one check decide for all programs. Endpoints with IPv6 addresses connect in http1 as they did in libs/http. The timeout of a request counts from its start now, not from the established connection. What the client reports is as before: connection_lost for what is not valid, bad_answer for a body whose end only the connection's end tells.

No test was run with an IPv6 address.

--- a/libs/http/include/trefoil/http/http_client.hpp
+++ b/libs/http/include/trefoil/http/http_client.hpp
@@ -1,4 +1,4 @@
-// HTTP/1.1 client on a libuv loop, based on h2o's client.
+// HTTP/1.1 client on a libuv loop for whole requests and responses.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +19,7 @@
     /// No connection was established in time, so no bytes were sent.
     not_sent,
     /// The connection was lost after the request was written to it, or the response is truncated or
-    /// malformed.
+    /// not valid.
     connection_lost,
     /// No complete response arrived within the timeout.
     timed_out,
@@ -36,7 +36,7 @@
 struct exchange_limits {
     /// Maximum time to establish the connection.
     std::chrono::milliseconds connect_timeout{250};
-    /// Maximum time from the established connection to the end of the response.
+    /// Maximum time from the start of the request to the end of the response.
     std::chrono::milliseconds timeout{30'000};
     /// Maximum size of the response body.
     std::uint64_t max_answer_bytes = 16'000'000;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <trefoil/base/error.hpp>
 #include <trefoil/http1/header_rules.hpp>
+#include <trefoil/http1/socket_address.hpp>
 
 #include "h2o_uv.hpp"
 
@@ -85,8 +86,7 @@
         listener_ = new uv_tcp_t;
         uv_tcp_init(loop_, listener_);
         listener_->data = this;
-        int result =
-            to_sockaddr(listen_address.ip, listen_address.port, address) == 0 ? UV_EINVAL : 0;
+        int result = http1::to_sockaddr(listen_address, address) == 0 ? UV_EINVAL : 0;
         if (result == 0) {
             result = uv_tcp_bind(listener_, reinterpret_cast<sockaddr*>(&address), 0);
         }
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -87,8 +87,8 @@
     return result;
 }
 
-/// Returns the failure with which the client reports a response of these bytes.
-exchange_failure failure_of_raw_answer(const std::string& bytes) {
+/// Returns what the client reports of a response of these bytes.
+exchange_result result_of_raw_answer(const std::string& bytes) {
     auto* loop = new uv_loop_t;
     uv_loop_init(loop);
     const auto port = free_port();
@@ -96,8 +96,17 @@
     http_client client(loop);
     const auto result = run_exchange(loop, client, port, make_request("x"));
     static_cast<void>(server);
-    REQUIRE(std::holds_alternative<exchange_failure>(*result));
-    return std::get<exchange_failure>(*result);
+    return *result;
+}
+
+exchange_failure failure_of_raw_answer(const std::string& bytes) {
+    const auto result = result_of_raw_answer(bytes);
+    REQUIRE(std::holds_alternative<exchange_failure>(result));
+    return std::get<exchange_failure>(result);
+}
+
+bool is_refused(const std::string& bytes) {
+    return std::holds_alternative<exchange_failure>(result_of_raw_answer(bytes));
 }
 
 } // namespace
@@ -208,6 +217,29 @@
     ::close(client);
 }
 
+TEST_CASE("a response that is no valid HTTP is a failure") {
+    const std::string rest = "content-length: 3\r\n\r\nabc";
+    for (const std::string line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 -", "HTTP/1.1 600 -", "HTTP/1.1 999 -",
+          "HTTP/1.1 20 -", "HTTP/1.1 0200 -", "HTTP/1.1 101 -", "HTTP/2.0 200 -", "HXYZ/1.1 200 -",
+          "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK"}) {
+        CAPTURE(line);
+        CHECK(is_refused(line + "\r\n" + rest));
+    }
+    for (const std::string field :
+         {"x : 1", "x y: 1", "x\t: 1", "x\x01: 1", "x\x7f: 1", "x\x80: 1", ": 1", "x", "x: \x01",
+          "x: 1\rY: 2", "content-length : 2", "transfer-encoding : chunked",
+          "transfer-encoding: gzip, chunked", "transfer-encoding: gzip"}) {
+        CAPTURE(field);
+        CHECK(is_refused("HTTP/1.1 200 OK\r\n" + field + "\r\n" + rest));
+    }
+    for (const std::string body : {"3\r\nabcXX0\r\n\r\n", "3\rXabc\r\n0\r\n\r\n",
+                                   "3\r\nabcd\r\n0\r\n\r\n", "3\r\nabc\r\n0\rX\r\n"}) {
+        CAPTURE(body);
+        CHECK(is_refused("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + body));
+    }
+}
+
 TEST_CASE("a missing listener, a timeout and bad responses give different failures") {
     auto* loop = new uv_loop_t;
     uv_loop_init(loop);
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include <trefoil/http1/socket_address.hpp>
+
 #include "tcp_state.hpp"
 
 namespace trefoil::http1 {
@@ -81,10 +83,8 @@
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
 
     void connect(const endpoint& to) {
-        sockaddr_in address{};
-        if (uv_ip4_addr(to.ip.c_str(), to.port, &address) != 0) {
-            has_invalid_address_ = true;
-        }
+        sockaddr_storage address{};
+        has_invalid_address_ = to_sockaddr(to, address) == 0;
         const int connect_result =
             has_invalid_address_
                 ? UV_EINVAL
