--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <uv.h>
@@ -224,14 +225,14 @@
           "HTTP/1.1 20 -", "HTTP/1.1 0200 -", "HTTP/1.1 101 -", "HTTP/2.0 200 -", "HXYZ/1.1 200 -",
           "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK"}) {
         CAPTURE(line);
-        CHECK(is_refused(line + "\r\n" + rest));
+        CHECK(is_refused(fmt::format("{}\r\n{}", line, rest)));
     }
     for (const std::string field :
          {"x : 1", "x y: 1", "x\t: 1", "x\x01: 1", "x\x7f: 1", "x\x80: 1", ": 1", "x", "x: \x01",
           "x: 1\rY: 2", "content-length : 2", "transfer-encoding : chunked",
           "transfer-encoding: gzip, chunked", "transfer-encoding: gzip"}) {
         CAPTURE(field);
-        CHECK(is_refused("HTTP/1.1 200 OK\r\n" + field + "\r\n" + rest));
+        CHECK(is_refused(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n{}", field, rest)));
     }
     for (const std::string body : {"3\r\nabcXX0\r\n\r\n", "3\rXabc\r\n0\r\n\r\n",
                                    "3\r\nabcd\r\n0\r\n\r\n", "3\r\nabc\r\n0\rX\r\n"}) {
