Check heads by tables and by whole lines

Cause: the checks of names, values and line ends looked at each byte by itself.

Change: tables say which bytes names, values and reasons may have, and section_lines looks for the ends of lines, as the C library does fast. Codings are looked up only where the framing leaves room for them.

All tests of http1, both fuzzers and broken_answer_test pass.

--- a/libs/http1/src/response_check.cpp
+++ b/libs/http1/src/response_check.cpp
@@ -1,6 +1,7 @@
 #include "response_check.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 #include <trefoil/http1/header_rules.hpp>
@@ -24,20 +25,43 @@
     return has_digits && is_in_range && (next == ' ' || next == '\r' || next == '\n');
 }
 
-bool is_token_character(char c) {
-    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    const bool is_digit = c >= '0' && c <= '9';
-    const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-    return is_digit || is_letter || marks.find(c) != std::string_view::npos;
+/// For each byte, whether it belongs to a set.
+using byte_set = std::array<bool, 256>;
+
+constexpr byte_set make_token_characters() {
+    byte_set set{};
+    for (const unsigned char c : std::string_view("!#$%&'*+-.^_`|~0123456789"
+                                                  "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                                  "abcdefghijklmnopqrstuvwxyz")) {
+        set[c] = true;
+    }
+    return set;
 }
 
-bool is_control(unsigned char c) {
-    constexpr unsigned char del = 0x7f;
-    return c == del || (c < ' ' && c != '\t');
+constexpr byte_set make_text_characters() {
+    constexpr std::size_t del = 0x7f;
+    byte_set set{};
+    for (std::size_t c = ' '; c < set.size(); ++c) {
+        set[c] = c != del;
+    }
+    set['\t'] = true;
+    return set;
 }
 
-bool has_body(const response_head& head) {
-    return !head.omits_body && !has_no_body(head.status);
+constexpr auto token_characters = make_token_characters();
+constexpr auto text_characters = make_text_characters();
+
+/// Returns the length of the longest part at the start of the text whose bytes are in the set.
+std::size_t length_within(const byte_set& set, std::string_view text) {
+    const auto* end =
+        std::find_if_not(text.begin(), text.end(), [&](unsigned char c) { return set[c]; });
+    return static_cast<std::size_t>(end - text.begin());
+}
+
+/// True if the framing leaves room for a Transfer-Encoding field: the parser refuses one beside a
+/// Content-Length field.
+bool may_be_coded(const response_head& head) {
+    return head.framing == body_framing::chunked || head.framing == body_framing::connection_close;
 }
 
 /// True for `chunked` in upper or lower case.
@@ -51,9 +75,12 @@
 /// alone (RFC 9112 6.1). The value of the field may have blanks behind it.
 bool has_unknown_coding(const response_head& head) {
     static constexpr std::string_view name = "transfer-encoding";
+    if (!may_be_coded(head)) {
+        return false;
+    }
     const auto has_name = [](const http_header& field) { return field.name == name; };
     const auto count = std::count_if(head.headers.begin(), head.headers.end(), has_name);
-    if (count == 0 || !has_body(head)) {
+    if (count == 0) {
         return false;
     }
     auto coding = find_header(head.headers, name);
@@ -64,13 +91,11 @@
 } // namespace
 
 std::size_t token_length(std::string_view text) {
-    const auto* end = std::find_if_not(text.begin(), text.end(), is_token_character);
-    return static_cast<std::size_t>(end - text.begin());
+    return length_within(token_characters, text);
 }
 
 std::size_t text_length(std::string_view text) {
-    const auto* end = std::find_if(text.begin(), text.end(), is_control);
-    return static_cast<std::size_t>(end - text.begin());
+    return length_within(text_characters, text);
 }
 
 std::optional<parse_failure> check_response(const response_head& head,
--- a/libs/http1/src/section_lines.cpp
+++ b/libs/http1/src/section_lines.cpp
@@ -26,26 +26,38 @@
         start_.append(bytes.substr(at, max_start_bytes - start_.size()));
     }
     while (at < bytes.size() && position_ == position::within) {
-        if (!take(bytes[at])) {
-            return at;
+        const auto rest = bytes.substr(at);
+        const auto line = rest.substr(0, rest.find('\n'));
+        const auto valid = valid_bytes(line);
+        if (valid < line.size()) {
+            return at + valid;
+        }
+        at += valid;
+        if (valid < rest.size()) {
+            end_line();
+            ++at;
         }
-        ++at;
     }
     return bytes.size();
 }
 
-bool section_lines::take(char c) {
-    if (is_after_cr_ && c != '\n') {
-        return false;
+std::size_t section_lines::valid_bytes(std::string_view line) {
+    if (is_after_cr_ && !line.empty()) {
+        return 0;
     }
-    is_after_cr_ = c == '\r';
-    if (c == '\n') {
-        position_ = is_line_empty_ ? position::behind : position::within;
-        is_line_empty_ = true;
-    } else if (c != '\r') {
-        is_line_empty_ = false;
+    const auto cr = line.find('\r');
+    if (cr != std::string_view::npos && cr + 1 < line.size()) {
+        return cr + 1;
     }
-    return true;
+    is_after_cr_ = is_after_cr_ || cr != std::string_view::npos;
+    is_line_empty_ = is_line_empty_ && (line.empty() || cr == 0);
+    return line.size();
+}
+
+void section_lines::end_line() {
+    position_ = is_line_empty_ ? position::behind : position::within;
+    is_line_empty_ = true;
+    is_after_cr_ = false;
 }
 
 } // namespace trefoil::http1
--- a/libs/http1/src/section_lines.hpp
+++ b/libs/http1/src/section_lines.hpp
@@ -31,8 +31,10 @@
 private:
     enum class position : std::uint8_t { before, within, behind };
 
-    /// Reads one byte. Returns false if it should be an LF and is none.
-    bool take(char c);
+    /// Reads a part of a line that has no LF, up to the first byte that should be one. Returns the
+    /// number of bytes read.
+    std::size_t valid_bytes(std::string_view line);
+    void end_line();
 
     position position_ = position::before;
     bool is_line_empty_ = true;
