--- a/review/parts/site_parts.py
+++ b/review/parts/site_parts.py
@@ -384,11 +384,13 @@
 
     async def stop(self):
         """Ends all processes that were started."""
-        for machine in self.machines:
-            if machine.process is not None and machine.process.returncode is None:
-                machine.process.send_signal(signal.SIGCONT)
+        started = [machine for machine in self.machines if machine.process is not None]
+        for machine in started:
+            if machine.process.returncode is None:
                 machine.process.kill()
-                await machine.process.wait()
+        for machine in started:
+            await machine.process.wait()
+        for machine in self.machines:
             if machine.server is not None:
                 machine.server.close()
         if self.store.server is not None:
@@ -415,9 +417,16 @@
     """Runs a case: `case(record, trouble)` returns True if the rule held."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run():
+        # Ends the started processes also when the script is ended.
+        ended = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended)
+        return await asyncio.wait_for(case(record, trouble), 110)
+
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        held = asyncio.run(run())
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.add("could_not_run", error=repr(error))
         print("could not run:", repr(error))
         return 2
