Move the socket options of a stream into a file of their own

The options and questions that concern a socket alone are in stream_socket now; the peer of slow_peer_test whose socket is outside the loop is in plain_peer.hpp, so that other tests can use it.

--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -4,22 +4,18 @@
 #include <array>
 #include <deque>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
 #include <uv.h>
 
 #include <trefoil/http1/socket_address.hpp>
 
+#include "stream_socket.hpp"
 #include "tcp_state.hpp"
 
 namespace trefoil::http1 {
 namespace {
 
-/// TCP user timeout, in milliseconds: data that is unacknowledged for this long ends the
-/// connection. The time in which the peer acknowledges, but keeps its receive window closed, is not
-/// counted.
+/// TCP user timeout, in milliseconds. The time in which the peer acknowledges, but keeps its
+/// receive window closed, is not counted.
 constexpr int default_user_timeout_ms = 2500;
 /// Time after which the kernel at the latest probes a receive window that stays closed, in
 /// milliseconds.
@@ -30,11 +26,6 @@
 constexpr std::uint64_t window_check_interval_ms = 250;
 /// TCP user timeout of what is left in the socket of a closed connection, in milliseconds.
 constexpr int closed_user_timeout_ms = 30'000;
-/// Idle time before the first keep-alive probe and time between probes, in seconds.
-constexpr int keep_alive_idle_s = 2;
-constexpr int keep_alive_interval_s = 1;
-/// Number of unanswered probes that ends the connection.
-constexpr int keep_alive_probes = 2;
 constexpr std::size_t read_buffer_bytes = 65536;
 /// When a connection is closed, the rest of the write buffer is sent as long as the peer
 /// acknowledges some of it within this time, in milliseconds.
@@ -47,22 +38,6 @@
     return buffer;
 }
 
-void set_option(int socket, int level, int option, int value) {
-    setsockopt(socket, level, option, &value, sizeof(value));
-}
-
-void enable_dead_peer_detection(uv_tcp_t* handle) {
-    uv_os_fd_t socket = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(handle), &socket) != 0) {
-        return;
-    }
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, default_user_timeout_ms);
-    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
-}
-
 } // namespace
 
 /// The libuv handles of a stream. They outlive the tcp_stream, because libuv closes handles
@@ -81,6 +56,12 @@
     }
 
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
+    /// Returns the socket, or -1 if the stream has none.
+    int socket() const {
+        uv_os_fd_t found = -1;
+        uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &found);
+        return found;
+    }
 
     void connect(const endpoint& to) {
         sockaddr_storage address{};
@@ -96,11 +77,11 @@
             report_failed_connect();
             return;
         }
-        enable_dead_peer_detection(&handle_);
+        detect_dead_peer();
     }
 
     void on_accepted() {
-        enable_dead_peer_detection(&handle_);
+        detect_dead_peer();
         on_established();
     }
 
@@ -142,11 +123,7 @@
     }
     bool is_connected() const { return is_connected_; }
 
-    bool has_peer_ended() {
-        pollfd asked{-1, POLLRDHUP, 0};
-        return uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &asked.fd) == 0 &&
-               poll(&asked, 1, 0) > 0;
-    }
+    bool has_peer_ended() const { return socket() >= 0 && http1::has_peer_ended(socket()); }
 
     void set_max_read_bytes(std::size_t bytes) { max_read_bytes_ = bytes; }
 
@@ -182,15 +159,18 @@
     /// Called when the owner releases the stream. Closes the handle with a TCP reset.
     void reset() {
         handlers_ = {};
-        uv_os_fd_t socket = -1;
-        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
-            const linger reset_on_close{1, 0};
-            setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
+        if (socket() >= 0) {
+            set_reset_on_close(socket());
         }
         close();
     }
 
 private:
+    void detect_dead_peer() {
+        enable_dead_peer_detection(socket());
+        http1::set_user_timeout(socket(), std::chrono::milliseconds(user_timeout_ms_));
+    }
+
     void on_connect(int status) {
         if (is_closing_) {
             return;
@@ -215,21 +195,15 @@
         }
     }
 
-    tcp_state state() const {
-        uv_os_fd_t socket = -1;
-        const bool is_open =
-            uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &socket) == 0;
-        return is_open ? read_tcp_state(socket) : tcp_state{};
-    }
+    tcp_state state() const { return socket() < 0 ? tcp_state{} : read_tcp_state(socket()); }
 
     void apply_user_timeout(int timeout_ms) {
         if (timeout_ms == user_timeout_ms_) {
             return;
         }
         user_timeout_ms_ = timeout_ms;
-        uv_os_fd_t socket = -1;
-        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) == 0) {
-            set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+        if (socket() >= 0) {
+            http1::set_user_timeout(socket(), std::chrono::milliseconds(timeout_ms));
         }
     }
 
@@ -339,16 +313,7 @@
 
     /// True if the connection was reset. libuv also reports the end of file for a reset that
     /// closely follows the last bytes; the socket error is then still set.
-    bool was_reset() {
-        uv_os_fd_t socket = -1;
-        int error = 0;
-        socklen_t length = sizeof(error);
-        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_), &socket) != 0 ||
-            getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length) != 0) {
-            return true;
-        }
-        return error != 0;
-    }
+    bool was_reset() const { return socket() < 0 || take_error(socket()) != 0; }
 
     void report_end(close_reason reason) {
         uv_read_stop(stream());
--- a/libs/http1/tests/slow_peer_test.cpp
+++ b/libs/http1/tests/slow_peer_test.cpp
@@ -4,12 +4,11 @@
 #include <array>
 #include <chrono>
 #include <functional>
-#include <linux/filter.h>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "loopback_peers.hpp"
+#include "plain_peer.hpp"
 
 using namespace trefoil;
 using namespace trefoil::http1;
@@ -21,42 +20,6 @@
 /// Longer than a peer may be silent.
 constexpr std::uint64_t longer_than_silence_ns = 3'500'000'000ULL;
 
-void run_for(test_loop& event_loop, std::uint64_t time_ns) {
-    const auto end = uv_hrtime() + time_ns;
-    event_loop.run_until([&] { return uv_hrtime() >= end; });
-}
-
-/// A socket outside the event loop whose machine can be made unreachable.
-class plain_peer {
-public:
-    explicit plain_peer(int socket) : socket_(socket) { REQUIRE(socket_ >= 0); }
-    ~plain_peer() { close(socket_); }
-    plain_peer(const plain_peer&) = delete;
-    plain_peer& operator=(const plain_peer&) = delete;
-
-    static int connect_to(const endpoint& to) {
-        const int made = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        uv_ip4_addr(to.ip.c_str(), to.port, &address);
-        REQUIRE(connect(made, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-        return made;
-    }
-
-    void write(const std::string& bytes) const {
-        REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(bytes.size()));
-    }
-    /// Drops everything that arrives from now on without an acknowledgement.
-    void fall_silent() const {
-        sock_filter drop{BPF_RET | BPF_K, 0, 0, 0};
-        const sock_fprog program{1, &drop};
-        REQUIRE(setsockopt(socket_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
-    }
-
-private:
-    int socket_;
-};
-
 /// A server with one open request of a plain peer.
 struct plain_peer_fixture {
     test_loop event_loop;
