Log answers that a lost connection cuts, with the cause

When a caller's connection was lost in the middle of an answer, nothing said so: the node had handed the answer over, logged it as served, and forgot it.

close_reason tells the three apart now. A connection that is lost while answers are unacknowledged gives a line, 6012 answer_cut, with the cause, the bytes that are left, the time since the last acknowledgement and the last request answered, and counts in trefoil_cut_answers_total.

--- a/libs/base/include/trefoil/base/log.hpp
+++ b/libs/base/include/trefoil/base/log.hpp
@@ -66,6 +66,7 @@
     answer_discarded = 6009,
     answer_unusable = 6010,
     run_answered = 6011,
+    answer_cut = 6012,
 };
 
 /// Returns all events in ascending order of their numbers.
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -69,6 +69,7 @@
         {log_event::answer_discarded, "answer_discarded"},
         {log_event::answer_unusable, "answer_unusable"},
         {log_event::run_answered, "run_answered"},
+        {log_event::answer_cut, "answer_cut"},
     };
     return names;
 }
--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -14,6 +14,7 @@
 #include <trefoil/base/time.hpp>
 #include <trefoil/http1/body_memory.hpp>
 #include <trefoil/http1/message.hpp>
+#include <trefoil/http1/tcp_stream.hpp>
 
 struct uv_loop_s;
 
@@ -98,10 +99,25 @@
     virtual std::uint64_t acknowledged_bytes() const = 0;
 };
 
+/// Answers of a connection that was lost before the client's machine had acknowledged all of them.
+struct cut_answers {
+    close_reason cause = close_reason::reset;
+    /// Number of bytes of answers that were not acknowledged.
+    std::uint64_t unacknowledged_bytes = 0;
+    /// Time since the client's machine last acknowledged anything.
+    std::chrono::milliseconds since_acknowledgement{0};
+    /// Number of requests of the connection without a complete answer.
+    std::size_t open_requests = 0;
+    /// Head of the last request with a complete answer, or of the oldest one if none has. Null if
+    /// there is neither.
+    const request_head* last_answered = nullptr;
+};
+
 /// Listens on an address and passes each request to a handler as soon as its head is complete.
 class server {
 public:
     using request_handler = std::function<void(std::shared_ptr<served_request>)>;
+    using cut_handler = std::function<void(const cut_answers&)>;
 
     /// Starts listening on an IPv4 address. Fails with server_failure::cannot_listen.
     static absl::StatusOr<std::unique_ptr<server>> listen(uv_loop_s* loop,
@@ -122,6 +138,9 @@
     /// The memory must outlive the server.
     void set_body_memory(const body_memory& memory);
 
+    /// Sets a function that is told of answers that a client can't have received whole.
+    void set_cut_handler(cut_handler on_cut);
+
     /// Adds `connection: close` to every further response and closes the connection after it.
     void close_connections_after_answers();
 
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -22,10 +22,18 @@
     not_connected,
     /// The peer closed the connection in an orderly way; all its bytes were received.
     closed,
-    /// The connection was reset or timed out; received data may be incomplete.
-    lost,
+    /// The connection was reset; received data may be incomplete.
+    reset,
+    /// The system gave the connection up: data or probes were not acknowledged in time.
+    timed_out,
+    /// The peer no longer answered the probes of its closed receive window.
+    silent,
 };
 
+/// True if received and sent data may be incomplete.
+bool is_lost(close_reason reason);
+std::string_view name_of(close_reason reason);
+
 /// Callbacks of a connection. Each may be empty and may destroy the stream.
 struct stream_handlers {
     std::function<void()> on_connected;
@@ -62,6 +70,11 @@
     std::uint64_t acknowledged_bytes() const;
     /// True if the peer's machine has not acknowledged all bytes.
     bool has_unacknowledged_bytes() const;
+    /// Number of bytes that the peer's machine has not acknowledged, with those that are not yet
+    /// written to the socket. Also known after the connection was lost.
+    std::uint64_t unacknowledged_bytes() const;
+    /// Time since the peer's machine last acknowledged anything.
+    std::chrono::milliseconds since_acknowledgement() const;
     bool is_connected() const;
     /// True if the peer has closed or reset the connection. Also known while reading is paused, but
     /// only once the peer's last bytes have been received.
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -119,8 +119,7 @@
         handle_events(std::move(events));
     }
     const auto pool = pool_.lock();
-    if (exchange_ != nullptr && pool != nullptr && end_reason == close_reason::lost &&
-        !has_answer_bytes_) {
+    if (exchange_ != nullptr && pool != nullptr && is_lost(end_reason) && !has_answer_bytes_) {
         const auto waited = uv_now(pool->loop_) - request_started_;
         if (waited >= static_cast<std::uint64_t>(acknowledgement_timeout_.count())) {
             pool->handle_silence(to_, request_started_);
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -63,6 +63,10 @@
     impl_->state_.memory = &memory;
 }
 
+void server::set_cut_handler(cut_handler on_cut) {
+    impl_->state_.on_cut = std::move(on_cut);
+}
+
 void server::close_connections_after_answers() {
     impl_->state_.closes_after_answers = true;
 }
--- a/libs/http1/src/server_connection.cpp
+++ b/libs/http1/src/server_connection.cpp
@@ -31,7 +31,7 @@
     stream_ = tcp_stream::accept(owner_.loop, listening,
                                  {{},
                                   [this](std::string_view bytes) { on_data(bytes); },
-                                  [this](close_reason) { close(); },
+                                  [this](close_reason reason) { on_stream_closed(reason); },
                                   [this] { on_drained(); }});
     if (stream_ == nullptr) {
         return false;
@@ -221,6 +221,13 @@
     notify_if_drained();
 }
 
+void server_connection::on_stream_closed(close_reason reason) {
+    if (is_lost(reason) && stream_->unacknowledged_bytes() > 0) {
+        report_cut(reason);
+    }
+    close();
+}
+
 std::shared_ptr<server_request> server_connection::queue_request(request_head head) {
     auto queued = std::make_shared<server_request>(weak_from_this(), std::move(head));
     requests_.push_back(queued);
@@ -272,6 +279,16 @@
     close();
 }
 
+void server_connection::report_cut(close_reason reason) const {
+    if (!owner_.on_cut) {
+        return;
+    }
+    const auto& described =
+        finished_ == nullptr && !requests_.empty() ? requests_.front() : finished_;
+    owner_.on_cut({reason, stream_->unacknowledged_bytes(), stream_->since_acknowledgement(),
+                   requests_.size(), described == nullptr ? nullptr : &described->head()});
+}
+
 bool server_connection::has_read_on(std::uint64_t now) {
     if (stream_ == nullptr || !stream_->has_unacknowledged_bytes()) {
         return false;
--- a/libs/http1/src/server_connection.hpp
+++ b/libs/http1/src/server_connection.hpp
@@ -67,6 +67,7 @@
     void on_body_data(const std::string& bytes);
     void on_message_end(bool keeps_connection);
     void on_drained();
+    void on_stream_closed(close_reason reason);
 
     /// Queues a request behind all earlier ones.
     std::shared_ptr<server_request> queue_request(request_head head);
@@ -79,6 +80,9 @@
     /// request gets no response, and the connection is closed in its place.
     void refuse(int status, std::string reason);
     void close_after_output();
+    /// Tells the owner of the server that the connection is lost with bytes that the client's
+    /// machine has not acknowledged.
+    void report_cut(close_reason reason) const;
 
     /// True if the client has not read all responses yet, and has read more of them since this was
     /// last asked.
--- a/libs/http1/src/server_state.hpp
+++ b/libs/http1/src/server_state.hpp
@@ -19,13 +19,15 @@
     server_limits limits;
     /// Receives each request as soon as its head is complete.
     server::request_handler on_request;
+    /// Told of answers that were cut. May be empty.
+    server::cut_handler on_cut = {};
     /// Null if the memory for request bodies is not limited.
     const body_memory* memory = nullptr;
     /// True if each response closes its connection.
     bool closes_after_answers = false;
     /// Number of requests without a complete response.
     std::size_t pending = 0;
-    std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections;
+    std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections = {};
 };
 
 } // namespace trefoil::http1
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -38,8 +38,33 @@
     return buffer;
 }
 
+/// Returns the reason for the end of a connection that a libuv error reports.
+close_reason reason_for(ssize_t error) {
+    return error == UV_ETIMEDOUT ? close_reason::timed_out : close_reason::reset;
+}
+
 } // namespace
 
+bool is_lost(close_reason reason) {
+    return reason != close_reason::closed && reason != close_reason::not_connected;
+}
+
+std::string_view name_of(close_reason reason) {
+    switch (reason) {
+    case close_reason::not_connected:
+        return "not_connected";
+    case close_reason::closed:
+        return "closed";
+    case close_reason::reset:
+        return "reset";
+    case close_reason::timed_out:
+        return "timed_out";
+    case close_reason::silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
 /// The libuv handles of a stream. They outlive the tcp_stream, because libuv closes handles
 /// asynchronously.
 class tcp_stream::impl {
@@ -102,6 +127,7 @@
         const auto buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int result = uv_try_write(stream(), &buffer, 1);
         const auto sent = result > 0 ? static_cast<std::size_t>(result) : 0;
+        written_bytes_ += sent;
         if (sent < bytes.size()) {
             start_write(bytes.substr(sent));
         }
@@ -121,6 +147,14 @@
     bool has_unacknowledged_bytes() const {
         return unsent_bytes() > 0 || state().has_unacknowledged_data();
     }
+    std::uint64_t unacknowledged_bytes() const {
+        const auto acknowledged = acknowledged_bytes();
+        const auto all = written_bytes_ + unsent_bytes();
+        return all > acknowledged ? all - acknowledged : 0;
+    }
+    std::chrono::milliseconds since_acknowledgement() const {
+        return state().since_acknowledgement;
+    }
     bool is_connected() const { return is_connected_; }
 
     bool has_peer_ended() const { return socket() >= 0 && http1::has_peer_ended(socket()); }
@@ -240,7 +274,7 @@
         } else if (seen.unanswered_probes > 0 &&
                    seen.since_acknowledgement.count() >= default_user_timeout_ms) {
             stop_watching_window();
-            fail();
+            fail(close_reason::silent);
             return;
         } else {
             apply_user_timeout(static_cast<int>(now - window_closed_since_) + probe_interval_ms);
@@ -252,11 +286,11 @@
     }
 
     /// Ends a connection that is lost.
-    void fail() {
+    void fail(close_reason reason) {
         if (is_draining_) {
             close();
         } else {
-            report_end(close_reason::lost);
+            report_end(reason);
         }
     }
 
@@ -307,7 +341,7 @@
             const auto handler = handlers_.on_data;
             handler({bytes, static_cast<std::size_t>(count)});
         } else if (count < 0) {
-            report_end(count == UV_EOF && !was_reset() ? close_reason::closed : close_reason::lost);
+            report_end(count == UV_EOF && !was_reset() ? close_reason::closed : reason_for(count));
         }
     }
 
@@ -336,15 +370,16 @@
     }
 
     void on_written(int status) {
-        in_flight_.clear();
-        in_flight_.shrink_to_fit();
         if (is_closing_) {
             return;
         }
         if (status != 0) {
-            fail();
+            fail(reason_for(status));
             return;
         }
+        written_bytes_ += in_flight_.size();
+        in_flight_.clear();
+        in_flight_.shrink_to_fit();
         if (!waiting_.empty()) {
             start_write(std::exchange(waiting_, {}));
             return;
@@ -391,6 +426,8 @@
     /// Bytes to be written after it, or once the connection is established.
     std::string waiting_;
     std::size_t max_read_bytes_ = read_buffer_bytes;
+    /// Bytes that the socket has accepted so far.
+    std::uint64_t written_bytes_ = 0;
     int open_handles_ = 3;
     int user_timeout_ms_ = default_user_timeout_ms;
     /// Bytes that the peer had acknowledged at the last check of the draining connection and of the
@@ -454,6 +491,14 @@
     return impl_->has_unacknowledged_bytes();
 }
 
+std::uint64_t tcp_stream::unacknowledged_bytes() const {
+    return impl_->unacknowledged_bytes();
+}
+
+std::chrono::milliseconds tcp_stream::since_acknowledgement() const {
+    return impl_->since_acknowledgement();
+}
+
 bool tcp_stream::is_connected() const {
     return impl_->is_connected();
 }
--- a/libs/http1/tests/loopback_peers.hpp
+++ b/libs/http1/tests/loopback_peers.hpp
@@ -248,6 +248,7 @@
 struct test_server {
     std::vector<std::shared_ptr<served_request>> requests;
     int closed_requests = 0;
+    std::vector<cut_answers> cuts;
     std::unique_ptr<server> listener;
     endpoint listen_address{"127.0.0.1", free_port()};
 
@@ -259,6 +260,7 @@
             });
         REQUIRE(made.ok());
         listener = std::move(*made);
+        listener->set_cut_handler([this](const cut_answers& cut) { cuts.push_back(cut); });
     }
 
     void answer(std::size_t index, const std::string& body) {
--- a/libs/http1/tests/slow_peer_test.cpp
+++ b/libs/http1/tests/slow_peer_test.cpp
@@ -184,3 +184,50 @@
     CHECK(std::chrono::nanoseconds(uv_hrtime() - began) < std::chrono::milliseconds(1500));
     CHECK(sender.counts().connections_opened == 1);
 }
+
+TEST_CASE("answers are reported as cut with the cause and the bytes that were not acknowledged") {
+    SUBCASE("a client that falls silent") {
+        plain_peer_fixture site;
+        site.peer.fall_silent();
+        site.begin_answer(1000);
+        site.time_to_close();
+        REQUIRE(site.local_server.cuts.size() == 1);
+        const auto& cut = site.local_server.cuts.front();
+        CHECK(cut.cause == close_reason::timed_out);
+        CHECK(cut.unacknowledged_bytes > 1000);
+        CHECK(cut.unacknowledged_bytes < 1200);
+        CHECK(cut.since_acknowledgement >= std::chrono::milliseconds(2000));
+        CHECK(cut.open_requests == 1);
+    }
+    SUBCASE("a client that resets its connection") {
+        test_loop event_loop;
+        test_server local_server(&event_loop.loop);
+        raw_client sender(&event_loop.loop, local_server.listen_address);
+        sender.stream->write("GET /1 HTTP/1.1\r\n\r\n");
+        REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 1; }));
+        sender.stream->pause_reading();
+        local_server.answer(0, std::string(unbuffered_bytes, 'x'));
+        run_for(event_loop, 50'000'000ULL);
+        sender.stream->reset();
+        REQUIRE(event_loop.run_until([&] { return !local_server.cuts.empty(); }));
+        const auto& cut = local_server.cuts.front();
+        CHECK(cut.cause == close_reason::reset);
+        CHECK(cut.unacknowledged_bytes > unbuffered_bytes / 2);
+        CHECK(cut.unacknowledged_bytes < unbuffered_bytes);
+        CHECK(cut.open_requests == 0);
+        CHECK(local_server.listener->pending() == 0);
+    }
+    SUBCASE("a client that has everything is not reported") {
+        test_loop event_loop;
+        test_server local_server(&event_loop.loop);
+        raw_client sender(&event_loop.loop, local_server.listen_address);
+        sender.stream->write("GET /1 HTTP/1.1\r\n\r\n");
+        REQUIRE(event_loop.run_until([&] { return local_server.requests.size() == 1; }));
+        local_server.answer(0, "first");
+        REQUIRE(event_loop.run_until(
+            [&] { return sender.received.find("first") != std::string::npos; }));
+        sender.stream->reset();
+        run_for(event_loop, 50'000'000ULL);
+        CHECK(local_server.cuts.empty());
+    }
+}
--- a/libs/proxy/src/proxy_metrics.cpp
+++ b/libs/proxy/src/proxy_metrics.cpp
@@ -82,6 +82,10 @@
                            fate == answer_fate::discarded ? "discarded" : "unusable",
                            metric_label(cause), count);
     }
+    out += "# TYPE trefoil_cut_answers_total counter\n";
+    for (const auto& [cause, count] : cut_answers_) {
+        out += fmt::format("trefoil_cut_answers_total{{cause=\"{}\"}} {}\n", name_of(cause), count);
+    }
     out += "# TYPE trefoil_call_seconds histogram\n";
     for (const auto& [route, entry] : routes_) {
         append_histogram(out, route, entry.latency);
--- a/libs/proxy/src/proxy_metrics.hpp
+++ b/libs/proxy/src/proxy_metrics.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <trefoil/http1/tcp_stream.hpp>
 #include <trefoil/quota/quota_ledger.hpp>
 #include <trefoil/telemetry/latency_histogram.hpp>
 #include <trefoil/wire/call_context.hpp>
@@ -45,6 +46,7 @@
     void count_rejected_answer(answer_fate fate, const std::string& cause) {
         ++rejected_answers_[{fate, cause}];
     }
+    void count_cut_answer(http1::close_reason cause) { ++cut_answers_[cause]; }
 
     /// Returns all metrics in the Prometheus text format.
     std::string text() const;
@@ -57,6 +59,8 @@
     std::map<std::string, std::uint64_t> retries_;
     /// Answers of the target that were not passed on, by what became of them and why.
     std::map<std::pair<answer_fate, std::string>, std::uint64_t> rejected_answers_;
+    /// Connections that were lost before all answers were acknowledged.
+    std::map<http1::close_reason, std::uint64_t> cut_answers_;
 };
 
 /// Returns the requests of limited workspaces in the Prometheus text format. The others together
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -105,6 +105,10 @@
             *slot = std::move(*opened);
             (*slot)->set_body_memory(state_.bodies);
         }
+        callers_->set_cut_handler(
+            [this](const auto& cut) { state_.handle_cut(cut, answer_receiver::caller); });
+        peers_->set_cut_handler(
+            [this](const auto& cut) { state_.handle_cut(cut, answer_receiver::node); });
         watch_signal(SIGTERM, [](uv_signal_t* handle, int) { impl_of(handle).stop(); });
         watch_signal(SIGINT, [](uv_signal_t* handle, int) { impl_of(handle).stop(); });
         watch_signal(SIGHUP, [](uv_signal_t* handle, int) { impl_of(handle).reload(); });
--- a/libs/proxy/src/proxy_state.cpp
+++ b/libs/proxy/src/proxy_state.cpp
@@ -89,6 +89,12 @@
     add_log_record(log_class_of(report.fate), [&] { return to_record(report); });
 }
 
+void proxy_state::handle_cut(const http1::cut_answers& cut, answer_receiver receiver) {
+    metrics.count_cut_answer(cut.cause);
+    add_log_record(log_class::failure,
+                   [&] { return to_record(cut, receiver, settings.header_names); });
+}
+
 void proxy_state::set_leaving(const instance_id& instance, std::int64_t started_at_ms) {
     const auto change = directory.announce_leaving(now(), instance, started_at_ms);
     if (change != directory_change::draining) {
--- a/libs/proxy/src/proxy_state.hpp
+++ b/libs/proxy/src/proxy_state.hpp
@@ -22,6 +22,7 @@
 #include <trefoil/traffic/route_table.hpp>
 #include <trefoil/traffic/weighted_round_robin.hpp>
 
+#include "cut_answer_record.hpp"
 #include "proxy_metrics.hpp"
 #include "share_metrics.hpp"
 #include "target_dispatcher.hpp"
@@ -60,6 +61,9 @@
     /// Counts and logs what became of an answer of the local target.
     void handle_answer(const target_answer_report& report);
 
+    /// Counts and logs answers that did not reach their receiver whole.
+    void handle_cut(const http1::cut_answers& cut, answer_receiver receiver);
+
     /// Sends no more requests to the process of the instance that started at `started_at_ms`.
     void set_leaving(const instance_id& instance, std::int64_t started_at_ms);
 
