End connections in stages, so that input behind the last answer cuts nothing

After SIGTERM each answer closes its connection. A caller can't know of `Connection: close` before it reads the answer's head.

Cause: the socket was closed as soon as it had accepted the last bytes, or was no longer read while they waited. A socket that is closed with unread input, or that gets input after its close, answers with a reset and drops what the peer has not acknowledged yet. Ruled out: the user timeout (TCPAbortOnTimeout 0) and unread input at the close (TCPAbortOnClose 0).

The connection is ended in stages now (RFC 9112, 9.6): the write buffer is sent, the sending side shut down, and what the client still sends is read and discarded until the client has ended as well. lingering_close decides it, on the time that is passed in. It is bounded: 5 s without an acknowledgement while bytes wait in the write buffer, 30 s for what the system has accepted (as long as the system kept it before), 5 s without input once all is acknowledged, 64 MiB of discarded input, 512 such connections for each listener, of which the oldest is closed. A server_connection exists until then, so that the answer that is given up is logged (6012 answer_cut, cause=not_taken).

The same cause, found at and mended for every place at which the server ends a connection: a client's own `Connection: close`; a refused request (400, 413); the rest of an upload that was answered early, whole or malformed; an aborted answer behind a whole one, whose connection was closed at once when nothing waited in the write buffer, though the whole one was still in the system's; an idle connection whose client has not taken its answer. Connections between nodes are served by the same class. An aborted answer drops its own unsent bytes, as before; an idle connection whose client has everything is closed at once, as before. Looked at without finding it: the client's side towards targets, nodes and the store, which closes only when it has the whole answer or wants none.

--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -41,6 +41,9 @@
     std::chrono::milliseconds head_timeout{3000};
     /// Maximum time that a connection may be idle between requests.
     std::chrono::milliseconds idle_timeout{15'000};
+    /// Maximum number of connections that are being ended and wait until their clients have taken
+    /// everything. One more closes the oldest of them.
+    std::size_t max_ending_connections = 512;
 
     friend bool operator==(const server_limits&, const server_limits&) = default;
 };
--- a/libs/http1/include/trefoil/http1/tcp_stream.hpp
+++ b/libs/http1/include/trefoil/http1/tcp_stream.hpp
@@ -28,12 +28,17 @@
     timed_out,
     /// The peer no longer answered the probes of its closed receive window.
     silent,
+    /// The peer has not taken everything in the time that end() allows.
+    not_taken,
 };
 
 /// True if received and sent data may be incomplete.
 bool is_lost(close_reason reason);
 std::string_view name_of(close_reason reason);
 
+/// What happens to the write buffer of a connection that is ended.
+enum class unsent_output : std::uint8_t { sent, dropped };
+
 /// Callbacks of a connection. Each may be empty and may destroy the stream.
 struct stream_handlers {
     std::function<void()> on_connected;
@@ -91,9 +96,16 @@
     void pause_reading();
     void resume_reading();
 
-    /// Closes the connection once the write buffer is empty, or when the peer has acknowledged
-    /// nothing for five seconds; a connection that is not established is closed at once. No
-    /// callback is called any more, and the stream must not be used except to destroy it.
+    /// Ends an established connection in stages (RFC 9112, section 9.6): sends or drops the write
+    /// buffer, shuts down the sending side and discards what the peer still sends, so that nothing
+    /// that the peer sends can cut what it has not read yet. Calls on_closed, and no other callback
+    /// any more, when the peer has ended as well, when the connection is lost, or when the limits
+    /// of lingering_close are reached. The owner then destroys the stream.
+    void end(unsent_output unsent);
+
+    /// Ends the connection as end() does, without its owner: no callback is called any more, and
+    /// the stream must not be used except to destroy it. A connection that is not established is
+    /// closed at once.
     void close_when_drained();
 
     /// Closes the connection with a TCP reset. No callback is called any more, and the stream must
--- a/libs/http1/src/server_connection.cpp
+++ b/libs/http1/src/server_connection.cpp
@@ -47,15 +47,37 @@
     }
     is_closed_ = true;
     stream_.reset();
+    owner_.connections.erase(this);
+    owner_.ending.remove(this);
+    drop_requests();
+}
+
+void server_connection::end(unsent_output unsent) {
+    const auto self = shared_from_this();
+    if (is_closed_ || is_ending_) {
+        return;
+    }
+    is_ending_ = true;
+    owner_.ending.push_back(this);
+    stream_->end(unsent);
+    drop_requests();
+    if (owner_.ending.size() > owner_.limits.max_ending_connections) {
+        owner_.ending.front()->close();
+    }
+}
+
+void server_connection::drop_requests() {
     auto open_requests = std::exchange(requests_, {});
     owner_.pending -= open_requests.size();
-    owner_.connections.erase(this);
     for (const auto& open : open_requests) {
         open->notify_closed();
     }
 }
 
 void server_connection::check_timeouts(std::uint64_t now) {
+    if (is_ending_) {
+        return;
+    }
     const auto age = now - last_activity_;
     const auto& limits = owner_.limits;
     if (!requests_.empty()) {
@@ -70,18 +92,27 @@
             refuse(408, "Request Timeout");
         }
     } else if (age > static_cast<std::uint64_t>(limits.idle_timeout.count()) && !has_read_on(now)) {
+        close_idle();
+    }
+}
+
+void server_connection::close_idle() {
+    if (stream_->has_unacknowledged_bytes()) {
+        end(unsent_output::sent);
+    } else {
+        // A request that arrives now is not read, so that its client may send it again.
         close();
     }
 }
 
 void server_connection::send(std::string bytes) {
-    if (stream_ != nullptr) {
+    if (stream_ != nullptr && !is_ending_) {
         stream_->write(std::move(bytes));
     }
 }
 
 void server_connection::send_ready_output() {
-    if (is_closed_) {
+    if (is_closed_ || is_ending_) {
         return;
     }
     const auto self = shared_from_this();
@@ -90,7 +121,7 @@
         first.set_next();
         send(first.take_output());
         if (first.is_aborted()) {
-            close_after_output();
+            end(unsent_output::sent);
             return;
         }
         if (!first.is_answered()) {
@@ -99,7 +130,7 @@
         const bool closes = first.closes();
         remove_first();
         if (closes) {
-            close_after_output();
+            end(unsent_output::sent);
             return;
         }
     }
@@ -114,14 +145,14 @@
                                     [&](const auto& queued) { return queued.get() == &aborted; });
     const bool is_next = found == requests_.begin();
     if (found == requests_.end() || (is_next && !has_earlier_output_)) {
-        close();
+        end(unsent_output::dropped);
     } else {
         send_ready_output();
     }
 }
 
 void server_connection::adjust_reading() {
-    if (stream_ == nullptr) {
+    if (stream_ == nullptr || is_ending_) {
         return;
     }
     const bool waits_for_answer =
@@ -158,7 +189,7 @@
         head_started_ = last_activity_;
     }
     for (auto& event : events) {
-        if (is_closed_ || is_refusing_) {
+        if (is_closed_ || is_ending_ || is_refusing_) {
             return;
         }
         std::visit(overloaded{[&](request_head& head) { on_head(std::move(head)); },
@@ -269,16 +300,6 @@
     refused->respond(make_error_head(status, std::move(reason)), {});
 }
 
-void server_connection::close_after_output() {
-    const auto self = shared_from_this();
-    if (stream_ != nullptr) {
-        auto* last = stream_.release();
-        last->close_when_drained();
-        delete last;
-    }
-    close();
-}
-
 void server_connection::report_cut(close_reason reason) const {
     if (!owner_.on_cut) {
         return;
--- a/libs/http1/src/server_connection.hpp
+++ b/libs/http1/src/server_connection.hpp
@@ -19,7 +19,9 @@
 namespace trefoil::http1 {
 
 /// Parses what a client sends, passes each request on, and sends the responses in the order of the
-/// requests. Reading is paused while the client has sent more than the limits of the server allow.
+/// requests. After the last response the connection is ended in stages, so that it exists until the
+/// client has taken everything. Reading is paused while the client has sent more than the limits of
+/// the server allow.
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     explicit server_connection(server_state& owner);
@@ -40,14 +42,14 @@
     /// Sends the available output of the oldest requests, up to the first incomplete response.
     void send_ready_output();
 
-    /// Closes the connection because the response to the request is aborted, but not before the
+    /// Ends the connection because the response to the request is aborted, but not before the
     /// responses to all earlier requests are sent.
     void end_with(const server_request& aborted);
 
     /// Pauses or resumes reading, by what waits to be taken or answered.
     void adjust_reading();
 
-    /// True if the connection is closed after the next response.
+    /// True if the connection is ended after the next response.
     bool will_close() const { return owner_.closes_after_answers; }
     /// Number of response bytes that wait to be written to the socket.
     std::size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
@@ -79,7 +81,11 @@
     /// further input. If the error is in the body of a request that was already passed on, this
     /// request gets no response, and the connection is closed in its place.
     void refuse(int status, std::string reason);
-    void close_after_output();
+    void close_idle();
+    /// Ends the connection in stages. Notifies the owners of its requests.
+    void end(unsent_output unsent);
+    /// Notifies the owners of the requests that have no complete response.
+    void drop_requests();
     /// Tells the owner of the server that the connection is lost with bytes that the client's
     /// machine has not acknowledged.
     void report_cut(close_reason reason) const;
@@ -110,6 +116,7 @@
     /// Bytes that the client's machine had acknowledged when the connection was last found idle.
     std::uint64_t acknowledged_when_idle_ = 0;
     bool is_closed_ = false;
+    bool is_ending_ = false;
     /// Set after an error response was queued or a response was aborted. Further input is ignored.
     bool is_refusing_ = false;
     /// True if the stream's write buffer may hold bytes of responses to earlier requests than the
--- a/libs/http1/src/server_state.hpp
+++ b/libs/http1/src/server_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <list>
 #include <memory>
 #include <unordered_map>
 
@@ -28,6 +29,8 @@
     /// Number of requests without a complete response.
     std::size_t pending = 0;
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections = {};
+    /// Those of them that are being ended, in the order in which this began.
+    std::list<server_connection*> ending = {};
 };
 
 } // namespace trefoil::http1
--- a/libs/http1/src/stream_socket.cpp
+++ b/libs/http1/src/stream_socket.cpp
@@ -33,6 +33,10 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
 }
 
+void shut_down_sending(int socket) {
+    shutdown(socket, SHUT_WR);
+}
+
 void set_reset_on_close(int socket) {
     const linger reset_on_close{1, 0};
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
--- a/libs/http1/src/stream_socket.hpp
+++ b/libs/http1/src/stream_socket.hpp
@@ -13,6 +13,9 @@
 /// connection.
 void set_user_timeout(int socket, std::chrono::milliseconds timeout);
 
+/// Sends the end of the stream behind what the socket has accepted. Nothing more can be written.
+void shut_down_sending(int socket);
+
 /// Makes the close of the socket a TCP reset.
 void set_reset_on_close(int socket);
 
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -6,8 +6,10 @@
 
 #include <uv.h>
 
+#include <trefoil/http1/loop_timer.hpp>
 #include <trefoil/http1/socket_address.hpp>
 
+#include "lingering_close.hpp"
 #include "stream_socket.hpp"
 #include "tcp_state.hpp"
 
@@ -27,9 +29,8 @@
 /// TCP user timeout of what is left in the socket of a closed connection, in milliseconds.
 constexpr int closed_user_timeout_ms = 30'000;
 constexpr std::size_t read_buffer_bytes = 65536;
-/// When a connection is closed, the rest of the write buffer is sent as long as the peer
-/// acknowledges some of it within this time, in milliseconds.
-constexpr std::uint64_t max_drain_pause_ms = 5000;
+/// Time between two looks at a connection that is being ended, in milliseconds.
+constexpr std::uint64_t ending_check_interval_ms = 1000;
 
 /// Returns the read buffer that all streams of the process's one loop share. They can share it,
 /// because each read is handled before the next one starts.
@@ -61,6 +62,8 @@
         return "timed_out";
     case close_reason::silent:
         return "silent";
+    case close_reason::not_taken:
+        return "not_taken";
     }
     return "unknown";
 }
@@ -173,21 +176,37 @@
         }
     }
 
-    /// Called when the owner releases the stream. Closes the handle, with `drains` only after the
-    /// write buffer has been sent.
-    void release(bool drains) {
+    void end(unsent_output unsent) {
+        handlers_ = {{}, {}, std::move(handlers_.on_closed), {}};
+        ending_.emplace(now());
+        if (unsent == unsent_output::dropped) {
+            waiting_.clear();
+            shut_down();
+        } else if (unsent_bytes() == 0) {
+            shut_down();
+        }
+        is_paused_ = false;
+        start_reading();
+        uv_timer_start(
+            &timer_, [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_ending(); },
+            ending_check_interval_ms, ending_check_interval_ms);
+    }
+
+    /// Called when the owner releases the stream. Ends the connection without it.
+    void end_without_owner() {
         handlers_ = {};
-        if (drains && is_connected_ && unsent_bytes() > 0) {
-            is_draining_ = true;
-            uv_read_stop(stream());
-            acknowledged_when_checked_ = acknowledged_bytes();
-            uv_timer_start(
-                &timer_,
-                [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_draining(); },
-                max_drain_pause_ms, max_drain_pause_ms);
-            return;
+        is_released_ = true;
+        if (is_connected_) {
+            end(unsent_output::sent);
+        } else {
+            close();
         }
-        close_gently(drains);
+    }
+
+    /// Called when the owner releases the stream.
+    void release() {
+        handlers_ = {};
+        close();
     }
 
     /// Called when the owner releases the stream. Closes the handle with a TCP reset.
@@ -273,8 +292,7 @@
             apply_user_timeout(default_user_timeout_ms);
         } else if (seen.unanswered_probes > 0 &&
                    seen.since_acknowledgement.count() >= default_user_timeout_ms) {
-            stop_watching_window();
-            fail(close_reason::silent);
+            report_end(close_reason::silent);
             return;
         } else {
             apply_user_timeout(static_cast<int>(now - window_closed_since_) + probe_interval_ms);
@@ -285,30 +303,35 @@
         }
     }
 
-    /// Ends a connection that is lost.
-    void fail(close_reason reason) {
-        if (is_draining_) {
-            close();
-        } else {
-            report_end(reason);
-        }
+    time_point now() const { return loop_time(handle_.loop); }
+
+    void shut_down() {
+        shut_down_sending(socket());
+        ending_->on_shut_down(now());
     }
 
-    void check_draining() {
-        const auto acknowledged = acknowledged_bytes();
-        if (acknowledged == acknowledged_when_checked_) {
-            close();
+    void check_ending() {
+        ending_->check(now(), state());
+        const bool is_taken = !has_unacknowledged_bytes();
+        finish_if_over(is_taken ? close_reason::closed : close_reason::not_taken);
+    }
+
+    void finish_if_over(close_reason reason) {
+        if (ending_->current() == lingering_close::stage::over) {
+            report_end(reason);
         }
-        acknowledged_when_checked_ = acknowledged;
     }
 
-    /// Closes the handle. What is left in the socket is still sent, with `drains` also to a peer
-    /// that reads slowly.
-    void close_gently(bool drains) {
-        if (drains && allows_closed_window_ && state().has_unacknowledged_data()) {
-            apply_user_timeout(closed_user_timeout_ms);
+    void on_read_while_ending(ssize_t count) {
+        if (count > 0) {
+            ending_->on_input(now(), static_cast<std::size_t>(count));
+            finish_if_over(close_reason::not_taken);
+        } else if (count == UV_EOF && !was_reset()) {
+            ending_->on_peer_end();
+            finish_if_over(close_reason::closed);
+        } else if (count < 0) {
+            report_end(reason_for(count));
         }
-        close();
     }
 
     /// Reports a connect error from the event loop, after connect() has returned.
@@ -337,7 +360,9 @@
     }
 
     void on_read(ssize_t count, const char* bytes) {
-        if (count > 0 && handlers_.on_data) {
+        if (ending_) {
+            on_read_while_ending(count);
+        } else if (count > 0 && handlers_.on_data) {
             const auto handler = handlers_.on_data;
             handler({bytes, static_cast<std::size_t>(count)});
         } else if (count < 0) {
@@ -349,9 +374,14 @@
     /// closely follows the last bytes; the socket error is then still set.
     bool was_reset() const { return socket() < 0 || take_error(socket()) != 0; }
 
+    /// Reports the end of the connection; closes the handle if there is no owner any more.
     void report_end(close_reason reason) {
         uv_read_stop(stream());
-        if (handlers_.on_closed) {
+        uv_timer_stop(&timer_);
+        stop_watching_window();
+        if (is_released_) {
+            close();
+        } else if (handlers_.on_closed) {
             const auto handler = handlers_.on_closed;
             handler(reason);
         }
@@ -373,21 +403,21 @@
         if (is_closing_) {
             return;
         }
-        if (status != 0) {
-            fail(reason_for(status));
+        const bool is_dropped = ending_ && ending_->current() != lingering_close::stage::writing;
+        if (status != 0 && !is_dropped) {
+            report_end(reason_for(status));
             return;
         }
-        written_bytes_ += in_flight_.size();
+        written_bytes_ += is_dropped ? 0 : in_flight_.size();
         in_flight_.clear();
         in_flight_.shrink_to_fit();
         if (!waiting_.empty()) {
             start_write(std::exchange(waiting_, {}));
-            return;
-        }
-        if (is_draining_) {
-            close_gently(true);
-        } else {
+        } else if (!ending_) {
             report_drained();
+        } else if (!is_dropped) {
+            shut_down();
+            finish_if_over(close_reason::closed);
         }
     }
 
@@ -403,6 +433,10 @@
             return;
         }
         is_closing_ = true;
+        if (ending_ && state().has_unacknowledged_data()) {
+            // The system goes on delivering, also to a peer that reads slowly.
+            apply_user_timeout(closed_user_timeout_ms);
+        }
         const auto closed = [](uv_handle_t* handle) {
             auto* self = static_cast<impl*>(handle->data);
             if (--self->open_handles_ == 0) {
@@ -415,7 +449,7 @@
     }
 
     uv_tcp_t handle_{};
-    /// Limits the time of a draining close, and defers the report of a failed connect.
+    /// Looks at a connection that is being ended, and defers the report of a failed connect.
     uv_timer_t timer_{};
     uv_timer_t window_timer_{};
     uv_connect_t connect_{};
@@ -430,9 +464,9 @@
     std::uint64_t written_bytes_ = 0;
     int open_handles_ = 3;
     int user_timeout_ms_ = default_user_timeout_ms;
-    /// Bytes that the peer had acknowledged at the last check of the draining connection and of the
-    /// receive window.
-    std::uint64_t acknowledged_when_checked_ = 0;
+    /// Set while the connection is being ended.
+    std::optional<lingering_close> ending_;
+    /// Bytes that the peer had acknowledged at the last check of the receive window.
     std::uint64_t acknowledged_at_window_check_ = 0;
     /// Loop time in milliseconds since which the window may have been closed, and of the last
     /// check.
@@ -443,7 +477,8 @@
     bool is_connected_ = false;
     bool is_paused_ = false;
     bool is_closing_ = false;
-    bool is_draining_ = false;
+    /// True if the connection is ended without its owner.
+    bool is_released_ = false;
     bool has_invalid_address_ = false;
 };
 
@@ -458,7 +493,7 @@
                                                stream_handlers handlers) {
     auto* made = new impl(loop, std::move(handlers));
     if (uv_accept(listener, made->stream()) != 0) {
-        made->release(false);
+        made->release();
         return nullptr;
     }
     made->on_accepted();
@@ -467,7 +502,7 @@
 
 tcp_stream::~tcp_stream() {
     if (impl_ != nullptr) {
-        impl_->release(false);
+        impl_->release();
     }
 }
 
@@ -524,8 +559,12 @@
     impl_ = nullptr;
 }
 
+void tcp_stream::end(unsent_output unsent) {
+    impl_->end(unsent);
+}
+
 void tcp_stream::close_when_drained() {
-    impl_->release(true);
+    impl_->end_without_owner();
     impl_ = nullptr;
 }
 
--- a/libs/http1/tests/plain_peer.hpp
+++ b/libs/http1/tests/plain_peer.hpp
@@ -54,9 +54,11 @@
         return made;
     }
 
-    void write(const std::string& bytes) const {
-        REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(bytes.size()));
+    void write(const std::string& bytes) const { REQUIRE(try_write(bytes)); }
+    /// Returns false if the connection was reset.
+    bool try_write(const std::string& bytes) const {
+        return send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
     }
 
     /// How a read ended.
