Keep peers that take less than a segment at a time; tell silence by acknowledgements

Cause: the TCP user timeout. Linux counts it from the first probe of a closed receive window. The count ends when the window opens far enough for the first segment in the queue, which may hold many packets; where it opens by less, data flows and is acknowledged, but the count goes on. The stream extended the timeout only while nothing at all was acknowledged, and set it back to 2.5 s whenever something was.

window_watch decides now, on the time that is passed in. A connection that its peer's window has never limited is left to the system as before. Once it has been limited (TCP_INFO counts the time), the timeout covers the time since the first probe that is possible, also from the first write of later answers on, and we tell silence ourselves: none of the data on its way is acknowledged for 2.5 s, or no acknowledgement has come for 2.5 s while a probe is unanswered. So that the time between two probes stays short whatever the timeout is, the system is asked to bound it (TCP_RTO_MAX_MS, from Linux 6.15 on). Before 6.15 the time grows to the length of the closure where the window had been closed earlier on the same connection; this was not run on such a system.

Same cause on related paths, mended by the same change: uploads to targets that read them evenly and slowly (the request failed after 2.5 s), and the rest of a connection that is ended.

Failed before: "a client that reads an answer evenly, a little at a time, keeps its connection" (19,456 bytes of 30,084), "a client that was slow once keeps its connection in later answers" (34,206 of 60,084), "a target that reads a body evenly, ...", and the two on slow clients that then fall silent, which were reset before they did. All pass now; silent ones are known within 3.3 s, as the older test of a closed window asks. The other tests of silence pass unchanged.

--- a/libs/http1/src/stream_socket.cpp
+++ b/libs/http1/src/stream_socket.cpp
@@ -15,6 +15,8 @@
 constexpr int keep_alive_interval_s = 1;
 /// Number of unanswered probes that ends the connection.
 constexpr int keep_alive_probes = 2;
+/// The socket option TCP_RTO_MAX_MS, which the headers of the system lack.
+constexpr int tcp_rto_max_ms = 44;
 
 void set_option(int socket, int level, int option, int value) {
     setsockopt(socket, level, option, &value, sizeof(value));
@@ -33,6 +35,10 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
 }
 
+void set_max_probe_interval(int socket, std::chrono::milliseconds interval) {
+    set_option(socket, IPPROTO_TCP, tcp_rto_max_ms, static_cast<int>(interval.count()));
+}
+
 void shut_down_sending(int socket) {
     shutdown(socket, SHUT_WR);
 }
--- a/libs/http1/src/stream_socket.hpp
+++ b/libs/http1/src/stream_socket.hpp
@@ -13,6 +13,10 @@
 /// connection.
 void set_user_timeout(int socket, std::chrono::milliseconds timeout);
 
+/// Makes the system probe a closed receive window at least this often. Does nothing before Linux
+/// 6.15, where the time between two probes doubles up to the TCP user timeout.
+void set_max_probe_interval(int socket, std::chrono::milliseconds interval);
+
 /// Sends the end of the stream behind what the socket has accepted. Nothing more can be written.
 void shut_down_sending(int socket);
 
--- a/libs/http1/src/tcp_state.cpp
+++ b/libs/http1/src/tcp_state.cpp
@@ -14,8 +14,12 @@
     if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &found, &length) != 0) {
         return {};
     }
-    return {found.tcpi_bytes_acked, found.tcpi_unacked, found.tcpi_notsent_bytes, found.tcpi_probes,
-            std::chrono::milliseconds(found.tcpi_last_ack_recv)};
+    return {found.tcpi_bytes_acked,
+            found.tcpi_unacked,
+            found.tcpi_notsent_bytes,
+            found.tcpi_probes,
+            std::chrono::milliseconds(found.tcpi_last_ack_recv),
+            std::chrono::microseconds(found.tcpi_rwnd_limited)};
 }
 
 } // namespace trefoil::http1
--- a/libs/http1/src/tcp_state.hpp
+++ b/libs/http1/src/tcp_state.hpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdint>
 
+#include <trefoil/base/time.hpp>
+
 namespace trefoil::http1 {
 
 /// What the kernel knows of the data that was sent over a connection.
@@ -18,10 +20,14 @@
     std::uint32_t unanswered_probes = 0;
     /// Time since the last acknowledgement.
     std::chrono::milliseconds since_acknowledgement{0};
+    /// Time in which the peer's receive window has kept data from being sent, since the connection
+    /// was established.
+    duration window_limited_time{0};
 
     bool has_unacknowledged_data() const {
         return unacknowledged_segments > 0 || waiting_bytes > 0;
     }
+    bool is_window_closed() const { return unacknowledged_segments == 0 && waiting_bytes > 0; }
 };
 
 /// Returns the state of a socket's connection; all values are zero if it has none.
--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -12,22 +12,18 @@
 #include "lingering_close.hpp"
 #include "stream_socket.hpp"
 #include "tcp_state.hpp"
+#include "window_watch.hpp"
 
 namespace trefoil::http1 {
 namespace {
 
-/// TCP user timeout, in milliseconds. The time in which the peer acknowledges, but keeps its
-/// receive window closed, is not counted.
-constexpr int default_user_timeout_ms = 2500;
-/// Time after which the kernel at the latest probes a receive window that stays closed, in
-/// milliseconds.
-constexpr int probe_interval_ms = 1250;
 /// Time from a write to the first check of the receive window, and between two checks while data is
 /// unacknowledged, in milliseconds.
 constexpr std::uint64_t first_window_check_ms = 1000;
 constexpr std::uint64_t window_check_interval_ms = 250;
-/// TCP user timeout of what is left in the socket of a closed connection, in milliseconds.
-constexpr int closed_user_timeout_ms = 30'000;
+/// What is added to the TCP user timeout for what is left in the socket of a connection that was
+/// ended.
+constexpr std::chrono::milliseconds closed_user_timeout{30'000};
 constexpr std::size_t read_buffer_bytes = 65536;
 /// Time between two looks at a connection that is being ended, in milliseconds.
 constexpr std::uint64_t ending_check_interval_ms = 1000;
@@ -138,11 +134,15 @@
     }
 
     void set_user_timeout(std::optional<std::chrono::milliseconds> timeout) {
-        allows_closed_window_ = !timeout.has_value();
-        if (!allows_closed_window_) {
+        if (timeout && allows_closed_window_) {
             stop_watching_window();
+            window_.begin(now());
+        } else if (!timeout && !allows_closed_window_) {
+            // Nobody has watched the window so far.
+            window_.check(now(), state());
         }
-        apply_user_timeout(timeout ? static_cast<int>(timeout->count()) : default_user_timeout_ms);
+        allows_closed_window_ = !timeout.has_value();
+        apply_user_timeout(timeout.value_or(window_watch::default_user_timeout));
     }
 
     std::size_t unsent_bytes() const { return in_flight_.size() + waiting_.size(); }
@@ -221,7 +221,7 @@
 private:
     void detect_dead_peer() {
         enable_dead_peer_detection(socket());
-        http1::set_user_timeout(socket(), std::chrono::milliseconds(user_timeout_ms_));
+        http1::set_user_timeout(socket(), user_timeout_);
     }
 
     void on_connect(int status) {
@@ -250,23 +250,24 @@
 
     tcp_state state() const { return socket() < 0 ? tcp_state{} : read_tcp_state(socket()); }
 
-    void apply_user_timeout(int timeout_ms) {
-        if (timeout_ms == user_timeout_ms_) {
+    void apply_user_timeout(std::chrono::milliseconds timeout) {
+        if (timeout == user_timeout_) {
             return;
         }
-        user_timeout_ms_ = timeout_ms;
+        user_timeout_ = timeout;
         if (socket() >= 0) {
-            http1::set_user_timeout(socket(), std::chrono::milliseconds(timeout_ms));
+            http1::set_user_timeout(socket(), timeout);
         }
     }
 
-    /// Checks the receive window of the peer until all data is acknowledged.
+    /// Watches the receive window of the peer until all data is acknowledged.
     void watch_window() {
         if (is_watching_window_ || !allows_closed_window_ || is_closing_) {
             return;
         }
         is_watching_window_ = true;
-        window_checked_at_ = uv_now(handle_.loop);
+        window_.begin(now());
+        apply_user_timeout(window_.user_timeout(now()));
         uv_timer_start(
             &window_timer_,
             [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_window(); },
@@ -278,28 +279,22 @@
         uv_timer_stop(&window_timer_);
     }
 
-    /// Extends the user timeout while the peer answers the probes of its closed window: the kernel
-    /// counts the whole time since the first probe, but a peer that answers is not silent. The
-    /// kernel sends the next probe before the timeout it knows of, so a short extension also makes
-    /// it probe often.
     void check_window() {
-        const auto now = uv_now(handle_.loop);
         const auto seen = state();
-        const bool is_window_closed = seen.unacknowledged_segments == 0 && seen.waiting_bytes > 0;
-        if (!is_window_closed || seen.acknowledged_bytes != acknowledged_at_window_check_) {
-            acknowledged_at_window_check_ = seen.acknowledged_bytes;
-            window_closed_since_ = window_checked_at_;
-            apply_user_timeout(default_user_timeout_ms);
-        } else if (seen.unanswered_probes > 0 &&
-                   seen.since_acknowledgement.count() >= default_user_timeout_ms) {
+        const bool was_limited = window_.is_limited();
+        window_.check(now(), seen);
+        if (window_.is_silent()) {
             report_end(close_reason::silent);
             return;
-        } else {
-            apply_user_timeout(static_cast<int>(now - window_closed_since_) + probe_interval_ms);
         }
-        window_checked_at_ = now;
-        if (!seen.has_unacknowledged_data()) {
+        if (window_.is_limited() && !was_limited) {
+            set_max_probe_interval(socket(), window_watch::probe_interval);
+        }
+        if (seen.has_unacknowledged_data()) {
+            apply_user_timeout(window_.user_timeout(now()));
+        } else {
             stop_watching_window();
+            apply_user_timeout(window_watch::default_user_timeout);
         }
     }
 
@@ -428,14 +423,23 @@
         }
     }
 
+    /// Sets the time that the system has to deliver the rest after the close. Where the connection
+    /// was ended in an orderly way, this includes a peer that reads slowly.
+    void set_timeout_of_rest() {
+        if (ending_) {
+            apply_user_timeout(window_.user_timeout(now()) + closed_user_timeout);
+        } else if (allows_closed_window_) {
+            apply_user_timeout(window_watch::default_user_timeout);
+        }
+    }
+
     void close() {
         if (is_closing_) {
             return;
         }
         is_closing_ = true;
-        if (ending_ && state().has_unacknowledged_data()) {
-            // The system goes on delivering, also to a peer that reads slowly.
-            apply_user_timeout(closed_user_timeout_ms);
+        if ((ending_ || window_.is_limited()) && state().has_unacknowledged_data()) {
+            set_timeout_of_rest();
         }
         const auto closed = [](uv_handle_t* handle) {
             auto* self = static_cast<impl*>(handle->data);
@@ -463,15 +467,10 @@
     /// Bytes that the socket has accepted so far.
     std::uint64_t written_bytes_ = 0;
     int open_handles_ = 3;
-    int user_timeout_ms_ = default_user_timeout_ms;
+    std::chrono::milliseconds user_timeout_ = window_watch::default_user_timeout;
     /// Set while the connection is being ended.
     std::optional<lingering_close> ending_;
-    /// Bytes that the peer had acknowledged at the last check of the receive window.
-    std::uint64_t acknowledged_at_window_check_ = 0;
-    /// Loop time in milliseconds since which the window may have been closed, and of the last
-    /// check.
-    std::uint64_t window_closed_since_ = 0;
-    std::uint64_t window_checked_at_ = 0;
+    window_watch window_;
     bool allows_closed_window_ = true;
     bool is_watching_window_ = false;
     bool is_connected_ = false;
--- a/libs/http1/tests/plain_peer.hpp
+++ b/libs/http1/tests/plain_peer.hpp
@@ -36,6 +36,40 @@
 /// A peer on a small device behind an Ethernet link.
 inline constexpr receive_limits small_device{8192, 1400};
 
+inline void set_receive_limits(int socket, receive_limits limits) {
+    const auto set_option = [&](int level, int option, int value) {
+        if (value > 0) {
+            REQUIRE(setsockopt(socket, level, option, &value, sizeof(value)) == 0);
+        }
+    };
+    set_option(SOL_SOCKET, SO_RCVBUF, limits.buffer_bytes);
+    set_option(IPPROTO_TCP, TCP_MAXSEG, limits.segment_bytes);
+}
+
+/// Listens on a port of the loopback address, outside the event loop.
+class plain_listener {
+public:
+    explicit plain_listener(receive_limits limits = {})
+        : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        set_receive_limits(socket_, limits);
+        sockaddr_in address{};
+        uv_ip4_addr("127.0.0.1", port_, &address);
+        REQUIRE(bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        REQUIRE(listen(socket_, 1) == 0);
+    }
+    ~plain_listener() { close(socket_); }
+    plain_listener(const plain_listener&) = delete;
+    plain_listener& operator=(const plain_listener&) = delete;
+
+    endpoint address() const { return {"127.0.0.1", port_}; }
+    /// Returns the socket of a connection that waits or is about to come.
+    int accept_one() const { return accept(socket_, nullptr, nullptr); }
+
+private:
+    std::uint16_t port_ = free_port();
+    int socket_;
+};
+
 /// A socket outside the event loop whose machine can be made unreachable.
 class plain_peer {
 public:
@@ -46,8 +80,7 @@
 
     static int connect_to(const endpoint& to, receive_limits limits = {}) {
         const int made = ::socket(AF_INET, SOCK_STREAM, 0);
-        set_option(made, SOL_SOCKET, SO_RCVBUF, limits.buffer_bytes);
-        set_option(made, IPPROTO_TCP, TCP_MAXSEG, limits.segment_bytes);
+        set_receive_limits(made, limits);
         sockaddr_in address{};
         uv_ip4_addr(to.ip.c_str(), to.port, &address);
         REQUIRE(connect(made, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
@@ -106,12 +139,6 @@
     static constexpr std::size_t bytes_per_read = 500;
     static constexpr std::uint64_t max_read_time_ns = 10'000'000'000ULL;
 
-    static void set_option(int socket, int level, int option, int value) {
-        if (value > 0) {
-            REQUIRE(setsockopt(socket, level, option, &value, sizeof(value)) == 0);
-        }
-    }
-
     int socket_;
     std::string received_;
     read_end end_ = read_end::none;
--- a/libs/http1/tests/slow_peer_test.cpp
+++ b/libs/http1/tests/slow_peer_test.cpp
@@ -155,17 +155,11 @@
 
 TEST_CASE("a target that falls silent fails a request after the request's own time limit") {
     test_loop event_loop;
-    const auto port = free_port();
-    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    uv_ip4_addr("127.0.0.1", port, &address);
-    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(listener, 1) == 0);
+    const plain_listener listener;
     client sender(&event_loop.loop, {});
     exchange_record first;
-    start_request(sender, {"127.0.0.1", port}, first);
-    const plain_peer target(accept(listener, nullptr, nullptr));
-    close(listener);
+    start_request(sender, listener.address(), first);
+    const plain_peer target(listener.accept_one());
     target.write(ok_response("1", "a"));
     REQUIRE(event_loop.run_until([&] { return first.is_complete; }));
     target.fall_silent();
@@ -176,8 +170,8 @@
     options.acknowledgement_timeout = std::chrono::milliseconds(300);
     bool has_failed = false;
     const auto began = uv_hrtime();
-    const auto second = sender.start(
-        {"127.0.0.1", port}, head, {}, true, options, [&](const exchange_event& event) {
+    const auto second =
+        sender.start(listener.address(), head, {}, true, options, [&](const exchange_event& event) {
             has_failed = std::holds_alternative<exchange_failure>(event);
         });
     CHECK(event_loop.run_until([&] { return has_failed; }));
@@ -231,3 +225,133 @@
         CHECK(local_server.cuts.empty());
     }
 }
+
+namespace {
+
+/// A client on a small device with a small receive buffer.
+constexpr receive_limits smallest_device{4096, 1400};
+constexpr std::size_t long_answer_bytes = 30'000;
+
+/// A server and a client on a small device that sends requests one by one.
+struct small_device_fixture {
+    test_loop event_loop;
+    test_server local_server{&event_loop.loop};
+    plain_peer peer{plain_peer::connect_to(local_server.listen_address, smallest_device)};
+
+    /// Sends a request and answers it. Returns the number of bytes that the client has received
+    /// when it has the whole answer.
+    std::size_t answer(std::size_t bytes) {
+        const auto index = local_server.requests.size();
+        peer.write("GET /1 HTTP/1.1\r\n\r\n");
+        REQUIRE(event_loop.run_until([&] { return local_server.requests.size() > index; }));
+        local_server.answer(index, std::string(bytes, 'x'));
+        all_bytes_ += to_bytes(head_of(bytes), false).size() + bytes;
+        return all_bytes_;
+    }
+    void read_all_evenly(double seconds) {
+        const auto bytes = static_cast<double>(all_bytes_ - peer.received().size());
+        peer.read_evenly(event_loop, all_bytes_, bytes / seconds);
+    }
+    /// Returns the time until the server reports cut answers, or five seconds if it does not.
+    std::chrono::nanoseconds time_to_cut() {
+        const auto began = uv_hrtime();
+        event_loop.run_until([&] { return !local_server.cuts.empty(); });
+        return std::chrono::nanoseconds(uv_hrtime() - began);
+    }
+
+private:
+    static response_head head_of(std::size_t bytes) {
+        response_head head;
+        head.status = 200;
+        head.reason = "OK";
+        head.framing = body_framing::length;
+        head.content_length = bytes;
+        return head;
+    }
+
+    std::size_t all_bytes_ = 0;
+};
+
+} // namespace
+
+// Guards against: a client that reads steadily, but takes less than a segment at a time, is reset
+// 2.5 s after the first probe of its window, and loses the answers behind as well (review/6).
+TEST_CASE("a client that reads an answer evenly, a little at a time, keeps its connection") {
+    small_device_fixture site;
+    site.answer(long_answer_bytes);
+    const auto all = site.answer(4);
+    site.read_all_evenly(5.2);
+    CHECK(site.peer.received().size() == all);
+    CHECK(site.local_server.cuts.empty());
+}
+
+// Guards against: a client whose window was closed during an earlier answer is reset at the first
+// probe of its window in a later one, since the system's clock may run on between them.
+TEST_CASE("a client that was slow once keeps its connection in later answers") {
+    small_device_fixture site;
+    site.answer(long_answer_bytes);
+    run_for(site.event_loop, 600'000'000ULL);
+    site.read_all_evenly(0.001);
+    REQUIRE(site.peer.received().size() > long_answer_bytes);
+    run_for(site.event_loop, 3'000'000'000ULL);
+    const auto all = site.answer(long_answer_bytes);
+    run_for(site.event_loop, 1'500'000'000ULL);
+    site.read_all_evenly(1);
+    CHECK(site.peer.received().size() == all);
+    CHECK(site.local_server.cuts.empty());
+}
+
+TEST_CASE("a client that reads evenly, a little at a time, is known when it falls silent") {
+    small_device_fixture site;
+    site.answer(long_answer_bytes);
+    site.peer.read_evenly(site.event_loop, 20'000, 5'800);
+    REQUIRE(site.local_server.cuts.empty());
+    site.peer.fall_silent();
+    CHECK(site.time_to_cut() < std::chrono::milliseconds(3300));
+}
+
+TEST_CASE("a client that was slow once is known when it falls silent in a later answer") {
+    small_device_fixture site;
+    site.answer(long_answer_bytes);
+    run_for(site.event_loop, 600'000'000ULL);
+    site.read_all_evenly(0.001);
+    run_for(site.event_loop, 1'000'000'000ULL);
+    SUBCASE("while its window is open") {
+        site.peer.fall_silent();
+        site.answer(1000);
+    }
+    SUBCASE("while its window is closed") {
+        site.answer(long_answer_bytes);
+        run_for(site.event_loop, longer_than_silence_ns);
+        REQUIRE(site.local_server.cuts.empty());
+        site.peer.fall_silent();
+    }
+    CHECK(site.time_to_cut() < std::chrono::milliseconds(3300));
+}
+
+// Guards against: an upload to a target that reads steadily, but takes less than a segment at a
+// time, fails 2.5 s after the first probe of the target's window.
+TEST_CASE("a target that reads a body evenly, a little at a time, keeps its connection") {
+    test_loop event_loop;
+    const plain_listener listener(smallest_device);
+    client sender(&event_loop.loop, {});
+    request_head head;
+    head.method = "POST";
+    head.target = "/";
+    head.framing = body_framing::length;
+    head.content_length = long_answer_bytes;
+    bool has_failed = false;
+    bool is_complete = false;
+    const auto running = sender.start(listener.address(), head, std::string(long_answer_bytes, 'x'),
+                                      true, {}, [&](const exchange_event& event) {
+                                          has_failed =
+                                              std::holds_alternative<exchange_failure>(event);
+                                          is_complete = std::holds_alternative<message_end>(event);
+                                      });
+    plain_peer target(listener.accept_one());
+    target.read_evenly(event_loop, to_bytes(head).size() + long_answer_bytes, 5'800);
+    CHECK_FALSE(has_failed);
+    target.write(ok_response("1", "a"));
+    CHECK(event_loop.run_until([&] { return is_complete || has_failed; }));
+    CHECK(is_complete);
+}
