Let a stopping node wait until its answers are taken

A stopping node exited when no request was without an answer, 2.5 s after the signal at the earliest. It counted an answer as given when the stream had it. Callers that still read were cut: what was in the process was lost, and what was in the system as well if one more request arrived.

The node now also waits until all answers are acknowledged, on connections that are kept and on those that are ended, up to the same limit before the end of the grace. What is cut at the limit gives a line, 6012 answer_cut with cause=not_taken. The decision is next_stop_step, on times that are passed in.

"a server has unread answers until its clients have taken them" is new.

--- a/libs/http1/include/trefoil/http1/server.hpp
+++ b/libs/http1/include/trefoil/http1/server.hpp
@@ -150,6 +150,13 @@
     /// Number of requests without a complete response.
     std::size_t pending() const;
 
+    /// True if a client has not acknowledged all of its answers. A process that exits then may cut
+    /// them.
+    bool has_unread_answers() const;
+    /// Tells the cut handler of all answers that are not acknowledged. To be called before the
+    /// process exits nevertheless.
+    void report_unread_answers() const;
+
     /// Closes the connections whose idle or head timeout has elapsed. The owner calls it a few
     /// times a second.
     void close_timed_out_connections();
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -1,5 +1,7 @@
 #include <trefoil/http1/server.hpp>
 
+#include <algorithm>
+
 #include <uv.h>
 
 #include "server_connection.hpp"
@@ -75,6 +77,20 @@
     return impl_->state_.pending;
 }
 
+bool server::has_unread_answers() const {
+    const auto& open = impl_->state_.connections;
+    return std::any_of(open.begin(), open.end(),
+                       [](const auto& entry) { return entry.second->has_unread_answers(); });
+}
+
+void server::report_unread_answers() const {
+    for (const auto& [key, open_connection] : impl_->state_.connections) {
+        if (open_connection->has_unread_answers()) {
+            open_connection->report_cut(close_reason::not_taken);
+        }
+    }
+}
+
 void server::close_timed_out_connections() {
     const auto now = uv_now(impl_->state_.loop);
     const auto open = impl_->state_.connections;
--- a/libs/http1/src/server_connection.hpp
+++ b/libs/http1/src/server_connection.hpp
@@ -49,6 +49,13 @@
     /// Pauses or resumes reading, by what waits to be taken or answered.
     void adjust_reading();
 
+    /// Tells the owner of the server that the connection is lost, or is about to be, with bytes
+    /// that the client's machine has not acknowledged.
+    void report_cut(close_reason reason) const;
+    bool has_unread_answers() const {
+        return stream_ != nullptr && stream_->has_unacknowledged_bytes();
+    }
+
     /// True if the connection is ended after the next response.
     bool will_close() const { return owner_.closes_after_answers; }
     /// Number of response bytes that wait to be written to the socket.
@@ -86,10 +93,6 @@
     void end(unsent_output unsent);
     /// Notifies the owners of the requests that have no complete response.
     void drop_requests();
-    /// Tells the owner of the server that the connection is lost with bytes that the client's
-    /// machine has not acknowledged.
-    void report_cut(close_reason reason) const;
-
     /// True if the client has not read all responses yet, and has read more of them since this was
     /// last asked.
     bool has_read_on(std::uint64_t now);
--- a/libs/http1/tests/connection_end_test.cpp
+++ b/libs/http1/tests/connection_end_test.cpp
@@ -168,3 +168,27 @@
     CHECK(second.received().ends_with("short"));
     CHECK(second.end() == plain_peer::read_end::closed);
 }
+
+// Guards against: a process that stops counts an answer as given when its socket has accepted it,
+// and exits before the client has taken it (review/9).
+TEST_CASE("a server has unread answers until its clients have taken them") {
+    bool is_kept = false;
+    SUBCASE("on a connection that is kept") {
+        is_kept = true;
+    }
+    SUBCASE("on a connection that is ended") {}
+    closing_site site(is_kept ? get_request : "GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    site.wait_for_requests(1);
+    auto& server = *site.local_server.listener;
+    CHECK_FALSE(server.has_unread_answers());
+    site.answer(0);
+    site.pause();
+    CHECK(server.pending() == 0);
+    CHECK(server.has_unread_answers());
+    server.report_unread_answers();
+    REQUIRE(site.local_server.cuts.size() == 1);
+    CHECK(site.local_server.cuts.front().cause == close_reason::not_taken);
+    CHECK(site.local_server.cuts.front().unacknowledged_bytes > answer_bytes / 2);
+    site.peer.read_evenly(site.event_loop, answer_bytes, read_bytes_per_s);
+    CHECK(site.event_loop.run_until([&] { return !server.has_unread_answers(); }));
+}
--- a/libs/proxy/src/proxy_node.cpp
+++ b/libs/proxy/src/proxy_node.cpp
@@ -18,6 +18,7 @@
 #include "proxy_state.hpp"
 #include "quota_exchange.hpp"
 #include "registry_sync.hpp"
+#include "stop_step.hpp"
 #include "work_metrics.hpp"
 
 namespace trefoil {
@@ -27,13 +28,6 @@
 constexpr duration housekeeping_interval = 250ms;
 /// Number of housekeeping runs between two reloads of the settings and sweeps of idle connections.
 constexpr std::uint64_t slow_housekeeping_period = 4;
-/// Minimum time for which a stopping node serves callers, since they learn of the stop from its
-/// readiness endpoint.
-constexpr duration min_stop_time = 2500ms;
-/// A stopping node exits when no request is pending and no caller has sent one for this long.
-constexpr duration min_idle_time = 400ms;
-/// A stopping node exits this long before it would be terminated by force.
-constexpr duration stop_margin = 300ms;
 /// A gap between two housekeeping runs that is longer than this is logged.
 constexpr duration min_logged_gap = 1500ms;
 /// Connections between nodes are closed by the sender first; its idle timeout is shorter.
@@ -327,15 +321,21 @@
             return;
         }
         const auto pending = callers_->pending() + peers_->pending();
-        const bool is_idle = pending == 0 && now - state_.stop_began >= min_stop_time &&
-                             now - state_.last_request >= min_idle_time;
-        const bool is_late = now - state_.stop_began >= state_.settings.stop_timeout - stop_margin;
-        if (!is_idle && !is_late) {
+        stop_progress progress;
+        progress.pending = pending;
+        progress.has_unread_answers =
+            pending == 0 && (callers_->has_unread_answers() || peers_->has_unread_answers());
+        progress.since_signal = now - state_.stop_began;
+        progress.since_last_request = now - state_.last_request;
+        progress.stop_timeout = state_.settings.stop_timeout;
+        if (next_stop_step(progress) == stop_step::wait) {
             return;
         }
         if (pending > 0) {
             state_.log.add({log_event::drain_limit_reached, {{"calls", std::to_string(pending)}}});
         }
+        callers_->report_unread_answers();
+        peers_->report_unread_answers();
         state_.log.add({log_event::node_stopped, {{"calls", std::to_string(pending)}}});
         state_.log.flush(now);
         uv_stop(state_.loop);
