Move the watch over a stream's peer into a class of its own

Its timer for looks at the receive window, the user timeout and what is left to the system after the close are peer_watch now; names of close reasons stand in close_reason.cpp.

--- a/libs/http1/src/tcp_stream.cpp
+++ b/libs/http1/src/tcp_stream.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <deque>
 
 #include <uv.h>
 
@@ -10,23 +9,16 @@
 #include <trefoil/http1/socket_address.hpp>
 
 #include "lingering_close.hpp"
+#include "peer_watch.hpp"
 #include "stream_socket.hpp"
 #include "tcp_state.hpp"
-#include "window_watch.hpp"
 
 namespace trefoil::http1 {
 namespace {
 
-/// Time from a write to the first check of the receive window, and between two checks while data is
-/// unacknowledged, in milliseconds.
-constexpr std::uint64_t first_window_check_ms = 1000;
-constexpr std::uint64_t window_check_interval_ms = 250;
-/// What is added to the TCP user timeout for what is left in the socket of a connection that was
-/// ended.
-constexpr std::chrono::milliseconds closed_user_timeout{30'000};
 constexpr std::size_t read_buffer_bytes = 65536;
-/// Time between two looks at a connection that is being ended, in milliseconds.
-constexpr std::uint64_t ending_check_interval_ms = 1000;
+/// Time between two looks at a connection that is being ended.
+constexpr duration ending_look_interval = 1s;
 
 /// Returns the read buffer that all streams of the process's one loop share. They can share it,
 /// because each read is handled before the next one starts.
@@ -42,39 +34,15 @@
 
 } // namespace
 
-bool is_lost(close_reason reason) {
-    return reason != close_reason::closed && reason != close_reason::not_connected;
-}
-
-std::string_view name_of(close_reason reason) {
-    switch (reason) {
-    case close_reason::not_connected:
-        return "not_connected";
-    case close_reason::closed:
-        return "closed";
-    case close_reason::reset:
-        return "reset";
-    case close_reason::timed_out:
-        return "timed_out";
-    case close_reason::silent:
-        return "silent";
-    case close_reason::not_taken:
-        return "not_taken";
-    }
-    return "unknown";
-}
-
 /// The libuv handles of a stream. They outlive the tcp_stream, because libuv closes handles
 /// asynchronously.
 class tcp_stream::impl {
 public:
-    impl(uv_loop_t* loop, stream_handlers handlers) : handlers_(std::move(handlers)) {
+    impl(uv_loop_t* loop, stream_handlers handlers)
+        : handlers_(std::move(handlers)), timer_(loop, [this] { on_timer(); }),
+          peer_(loop, [this] { report_end(close_reason::silent); }) {
         uv_tcp_init(loop, &handle_);
         handle_.data = this;
-        uv_timer_init(loop, &timer_);
-        timer_.data = this;
-        uv_timer_init(loop, &window_timer_);
-        window_timer_.data = this;
         connect_.data = this;
         write_.data = this;
     }
@@ -89,23 +57,24 @@
 
     void connect(const endpoint& to) {
         sockaddr_storage address{};
-        has_invalid_address_ = to_sockaddr(to, address) == 0;
+        const bool is_invalid = to_sockaddr(to, address) == 0;
         const int connect_result =
-            has_invalid_address_
+            is_invalid
                 ? UV_EINVAL
                 : uv_tcp_connect(&connect_, &handle_, reinterpret_cast<const sockaddr*>(&address),
                                  [](uv_connect_t* request, int status) {
                                      static_cast<impl*>(request->data)->on_connect(status);
                                  });
         if (connect_result != 0) {
-            report_failed_connect();
+            // Reported from the event loop, after connect() has returned.
+            timer_.start(0ms);
             return;
         }
-        detect_dead_peer();
+        peer_.open(socket());
     }
 
     void on_accepted() {
-        detect_dead_peer();
+        peer_.open(socket());
         on_established();
     }
 
@@ -130,19 +99,11 @@
         if (sent < bytes.size()) {
             start_write(bytes.substr(sent));
         }
-        watch_window();
+        peer_.on_write();
     }
 
     void set_user_timeout(std::optional<std::chrono::milliseconds> timeout) {
-        if (timeout && allows_closed_window_) {
-            stop_watching_window();
-            window_.begin(now());
-        } else if (!timeout && !allows_closed_window_) {
-            // Nobody has watched the window so far.
-            window_.check(now(), state());
-        }
-        allows_closed_window_ = !timeout.has_value();
-        apply_user_timeout(timeout.value_or(window_watch::default_user_timeout));
+        peer_.set_user_timeout(timeout);
     }
 
     std::size_t unsent_bytes() const { return in_flight_.size() + waiting_.size(); }
@@ -187,9 +148,7 @@
         }
         is_paused_ = false;
         start_reading();
-        uv_timer_start(
-            &timer_, [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_ending(); },
-            ending_check_interval_ms, ending_check_interval_ms);
+        timer_.start_repeating(ending_look_interval);
     }
 
     /// Called when the owner releases the stream. Ends the connection without it.
@@ -219,11 +178,6 @@
     }
 
 private:
-    void detect_dead_peer() {
-        enable_dead_peer_detection(socket());
-        http1::set_user_timeout(socket(), user_timeout_);
-    }
-
     void on_connect(int status) {
         if (is_closing_) {
             return;
@@ -250,54 +204,6 @@
 
     tcp_state state() const { return socket() < 0 ? tcp_state{} : read_tcp_state(socket()); }
 
-    void apply_user_timeout(std::chrono::milliseconds timeout) {
-        if (timeout == user_timeout_) {
-            return;
-        }
-        user_timeout_ = timeout;
-        if (socket() >= 0) {
-            http1::set_user_timeout(socket(), timeout);
-        }
-    }
-
-    /// Watches the receive window of the peer until all data is acknowledged.
-    void watch_window() {
-        if (is_watching_window_ || !allows_closed_window_ || is_closing_) {
-            return;
-        }
-        is_watching_window_ = true;
-        window_.begin(now());
-        apply_user_timeout(window_.user_timeout(now()));
-        uv_timer_start(
-            &window_timer_,
-            [](uv_timer_t* timer) { static_cast<impl*>(timer->data)->check_window(); },
-            first_window_check_ms, window_check_interval_ms);
-    }
-
-    void stop_watching_window() {
-        is_watching_window_ = false;
-        uv_timer_stop(&window_timer_);
-    }
-
-    void check_window() {
-        const auto seen = state();
-        const bool was_limited = window_.is_limited();
-        window_.check(now(), seen);
-        if (window_.is_silent()) {
-            report_end(close_reason::silent);
-            return;
-        }
-        if (window_.is_limited() && !was_limited) {
-            set_max_probe_interval(socket(), window_watch::probe_interval);
-        }
-        if (seen.has_unacknowledged_data()) {
-            apply_user_timeout(window_.user_timeout(now()));
-        } else {
-            stop_watching_window();
-            apply_user_timeout(window_watch::default_user_timeout);
-        }
-    }
-
     time_point now() const { return loop_time(handle_.loop); }
 
     void shut_down() {
@@ -305,7 +211,11 @@
         ending_->on_shut_down(now());
     }
 
-    void check_ending() {
+    void on_timer() {
+        if (!ending_) {
+            report_end(close_reason::not_connected);
+            return;
+        }
         ending_->check(now(), state());
         const bool is_taken = !has_unacknowledged_bytes();
         finish_if_over(is_taken ? close_reason::closed : close_reason::not_taken);
@@ -329,16 +239,6 @@
         }
     }
 
-    /// Reports a connect error from the event loop, after connect() has returned.
-    void report_failed_connect() {
-        uv_timer_start(
-            &timer_,
-            [](uv_timer_t* timer) {
-                static_cast<impl*>(timer->data)->report_end(close_reason::not_connected);
-            },
-            0, 0);
-    }
-
     void start_reading() {
         if (is_closing_ || is_paused_ || !is_connected_) {
             return;
@@ -372,8 +272,8 @@
     /// Reports the end of the connection; closes the handle if there is no owner any more.
     void report_end(close_reason reason) {
         uv_read_stop(stream());
-        uv_timer_stop(&timer_);
-        stop_watching_window();
+        timer_.stop();
+        peer_.stop();
         if (is_released_) {
             close();
         } else if (handlers_.on_closed) {
@@ -423,42 +323,24 @@
         }
     }
 
-    /// Sets the time that the system has to deliver the rest after the close. Where the connection
-    /// was ended in an orderly way, this includes a peer that reads slowly.
-    void set_timeout_of_rest() {
-        if (ending_) {
-            apply_user_timeout(window_.user_timeout(now()) + closed_user_timeout);
-        } else if (allows_closed_window_) {
-            apply_user_timeout(window_watch::default_user_timeout);
-        }
-    }
-
     void close() {
         if (is_closing_) {
             return;
         }
         is_closing_ = true;
-        if ((ending_ || window_.is_limited()) && state().has_unacknowledged_data()) {
-            set_timeout_of_rest();
-        }
-        const auto closed = [](uv_handle_t* handle) {
-            auto* self = static_cast<impl*>(handle->data);
-            if (--self->open_handles_ == 0) {
-                delete self;
-            }
-        };
-        uv_close(reinterpret_cast<uv_handle_t*>(&handle_), closed);
-        uv_close(reinterpret_cast<uv_handle_t*>(&timer_), closed);
-        uv_close(reinterpret_cast<uv_handle_t*>(&window_timer_), closed);
+        timer_.stop();
+        peer_.leave_rest_to_system(ending_.has_value());
+        uv_close(reinterpret_cast<uv_handle_t*>(&handle_),
+                 [](uv_handle_t* handle) { delete static_cast<impl*>(handle->data); });
     }
 
     uv_tcp_t handle_{};
-    /// Looks at a connection that is being ended, and defers the report of a failed connect.
-    uv_timer_t timer_{};
-    uv_timer_t window_timer_{};
     uv_connect_t connect_{};
     uv_write_t write_{};
     stream_handlers handlers_;
+    /// Looks at a connection that is being ended, and defers the report of a failed connect.
+    loop_timer timer_;
+    peer_watch peer_;
     /// Bytes of the write in progress.
     std::string in_flight_;
     /// Bytes to be written after it, or once the connection is established.
@@ -466,19 +348,13 @@
     std::size_t max_read_bytes_ = read_buffer_bytes;
     /// Bytes that the socket has accepted so far.
     std::uint64_t written_bytes_ = 0;
-    int open_handles_ = 3;
-    std::chrono::milliseconds user_timeout_ = window_watch::default_user_timeout;
     /// Set while the connection is being ended.
     std::optional<lingering_close> ending_;
-    window_watch window_;
-    bool allows_closed_window_ = true;
-    bool is_watching_window_ = false;
     bool is_connected_ = false;
     bool is_paused_ = false;
     bool is_closing_ = false;
     /// True if the connection is ended without its owner.
     bool is_released_ = false;
-    bool has_invalid_address_ = false;
 };
 
 std::unique_ptr<tcp_stream> tcp_stream::connect(uv_loop_s* loop, const endpoint& to,
